--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -1326,6 +1326,7 @@
     if (m->occupants.empty() && m->queue.empty()) GiveBack(now, m, "idle");
   }
   for (const RentPlan& r : plan.rent) Rent(now, r.offer, r.count);
+  CountPaid(now);
   if (now >= log_at_) {
     log_at_ = now + Seconds(5);
     int booting = 0, up = 0;
@@ -1338,6 +1339,33 @@
   }
 }
 
+void Leader::CountPaid(Micros now) {
+  const double dt = paid_at_.count == 0 ? 0 : (now - paid_at_).ToSeconds();
+  paid_at_ = now;
+  for (auto& [id, m] : machines_) {
+    if (!m->type || m->type->size.cpu == 0) continue;
+    Paid& p = paid_[Offer{m->type_name, "", m->spot}];
+    p.held += dt;
+    if (m->stage == MachineStage::kBooting) p.boot += dt;
+    for (auto& [key, o] : m->occupants) {
+      const double share =
+          static_cast<double>(o.need.cpu) / static_cast<double>(m->type->size.cpu) * dt;
+      if (o.state == RunState::kRunning) p.used += share;
+      if (o.state == RunState::kFetching || o.state == RunState::kSent) p.fetching += share;
+    }
+  }
+  if (now < log_at_) return;
+  for (const auto& [offer, p] : paid_) {
+    if (p.held <= 0) continue;
+    const auto percent = [&p](double part) {
+      return std::to_string(static_cast<int>(100 * part / p.held)) + "%";
+    };
+    asker()->Debug("paid " + offer.type + (offer.spot ? " (spot) " : " ") +
+                   std::to_string(static_cast<int>(p.held)) + " s: boot " + percent(p.boot) +
+                   ", run " + percent(p.used) + ", fetch " + percent(p.fetching));
+  }
+}
+
 void Leader::SendReturns(Micros now) {
   (void)now;
   returning_ = true;
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -156,6 +156,14 @@
   bool types_dirty_ = false;
   std::map<std::string, MachineType> new_types_;
 
+  // What was paid for in this term, in machine seconds, for the log.
+  struct Paid {
+    double held = 0, boot = 0, used = 0, fetching = 0;
+  };
+  std::map<Offer, Paid> paid_;
+  Micros paid_at_;
+  void CountPaid(Micros now);
+
   // Cloud.
   Autoscaler scaler_;
   bool listing_ = false, asking_types_ = false;
