--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -509,6 +509,10 @@
       if (t.state == RunState::kRunning && o.state != RunState::kRunning) ++o.job->running;
       if (t.state != RunState::kRunning && o.state == RunState::kRunning) --o.job->running;
       if (o.job->gang() && (t.state == RunState::kRunning || t.state == RunState::kFlushing)) {
+        if (!o.job->gang_ran) {
+          asker()->Debug("gang " + o.job->spec.id + " runs after " +
+                         std::to_string((now - o.job->arrived).ToMillis()) + " ms");
+        }
         o.job->gang_ran = true;
       }
     }
@@ -968,6 +972,8 @@
     for (size_t k = 0; k < members.size(); ++k) {
       Place(now, chosen[k], job, members[k], job->gang_attempt)->unsent = true;
     }
+    asker()->Debug("gang " + job->spec.id + " placed on " + chosen[0]->id + " after " +
+                   std::to_string((now - job->arrived).ToMillis()) + " ms");
     return true;
   }
   return false;
