Idle gang machines take other work, which makes way for gangs by rank

Change: no standing reserve; work of lower rank on one machine, the one that loses least, is stopped when a gang has no room; gangs by smallest estimate like the queues; machines that don't come up given up after 1.8 boots; idle limits in boots; arrivals kept in reserve only where a deadline is shorter than a boot.

--- a/src/core/autoscale.cpp
+++ b/src/core/autoscale.cpp
@@ -23,8 +23,17 @@
 
 }  // namespace
 
-void Autoscaler::Arrived(const JobSpec& spec, Micros now) {
-  if (spec.shape != Shape::kArray) return;
+Micros Autoscaler::Allowance(const JobSpec& spec,
+                             const std::vector<Objective>& objectives) const {
+  if (spec.due) return *spec.due;
+  for (const Objective& o : objectives) {
+    if (o.lane == spec.lane && o.kind == "finished") return o.within.Scaled(options_.drain_share);
+  }
+  return options_.drain_target + spec.estimate;
+}
+
+void Autoscaler::Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros now) {
+  if (spec.shape != Shape::kArray || slack > boot.Scaled(1.5)) return;
   const double dt = (now - rate_at_).ToSeconds();
   arrival_rate_ *= std::exp(-dt / kRateWindow.ToSeconds());
   rate_at_ = now;
@@ -36,19 +45,17 @@
   gang_needs_[spec.lane] = GangNeed{spec, now};
 }
 
-Resources Autoscaler::Reserve(const MachineType& type, const std::string& zone, bool spot,
-                              Micros now) const {
-  Resources reserve;
+bool Autoscaler::ForGangs(const MachineType& type, const std::string& zone, bool spot,
+                          Micros now) const {
   for (const auto& [lane, need] : gang_needs_) {
     if (now - need.last > kGangMemory || !Allows(need.spec, type, zone, spot)) continue;
     const Resources& n = need.spec.need;
-    const bool big = n.cpu * 2 > type.size.cpu || n.mem * 2 > type.size.mem ||
-                     (n.gpu > 0 && n.gpu * 2 > type.size.gpu);
-    if (!big) continue;
-    reserve = {std::max(reserve.cpu, n.cpu), std::max(reserve.gpu, n.gpu),
-               std::max(reserve.mem, n.mem)};
+    if (n.cpu * 2 > type.size.cpu || n.mem * 2 > type.size.mem ||
+        (n.gpu > 0 && n.gpu * 2 > type.size.gpu)) {
+      return true;
+    }
   }
-  return reserve;
+  return false;
 }
 
 double Autoscaler::Price(const ScaleView& view, const Offer& offer) const {
@@ -83,11 +90,17 @@
 
 void Autoscaler::PlanGangs(const ScaleView& view, ScalePlan* plan) {
   std::vector<Room> rooms;
+  Rank highest = Rank::kIdle;
+  for (const Job* job : view.jobs) {
+    if (job->gang() && job->gang_attempt == 0) highest = std::min(highest, job->spec.rank);
+  }
   for (Machine* m : view.machines) {
-    if (!Usable(*m) || m->retiring) continue;
+    if (!Usable(*m)) continue;
     Resources used;
     for (const auto& [key, o] : m->occupants) {
       if (o.exited()) continue;
+      // What a gang may push aside is as good as free.
+      if (o.job && !o.job->gang() && o.job->spec.rank > highest) continue;
       // What is about to end frees its room before a new machine would be up.
       if (o.job && o.job->gang() && o.state == RunState::kRunning) {
         const Micros ran = view.now - o.job->tasks[static_cast<size_t>(o.ref.task)].bound_at;
@@ -96,7 +109,6 @@
           continue;
         }
       }
-      // Small work that fills the space beside gangs does not keep a gang out for long.
       used = used + o.need;
     }
     rooms.push_back({m, m->type, m->zone, m->spot, m->type->size - used});
@@ -116,6 +128,7 @@
         if (!Allows(job->spec, *room.type, room.zone, room.spot)) continue;
         if (!job->spec.need.Fits(room.free)) continue;
         room.free = room.free - job->spec.need;
+        if (room.machine && room.machine->retiring) plan->unretire.push_back(room.machine);
         found = true;
         break;
       }
@@ -157,16 +170,8 @@
     const double est = std::max(1.0, s.estimate.ToSeconds());
     const double work = (open + 0.5 * job->placed) * est * static_cast<double>(s.need.cpu);
     waiting_work += open * est * static_cast<double>(s.need.cpu);
-    Micros left = options_.drain_target;
-    if (s.due) {
-      left = job->arrived + *s.due - view.now;
-    } else {
-      for (const Objective& o : *view.objectives) {
-        if (o.lane != s.lane || o.kind != "finished") continue;
-        left = job->arrived + o.within.Scaled(options_.drain_share) - view.now;
-      }
-    }
-    left = std::max({left, s.estimate, Seconds(5)});
+    const Micros left = std::max(
+        {job->arrived + Allowance(s, *view.objectives) - view.now, s.estimate, Seconds(5)});
     wishes.push_back({left, work});
     widest += static_cast<double>(job->left()) * static_cast<double>(s.need.cpu);
   }
@@ -181,13 +186,17 @@
 
   const auto capacity = [&](const MachineType& t, const std::string& zone, bool spot) {
     if (!typical || !Allows(typical->spec, t, zone, spot)) return 0.0;
-    const Resources room = t.size - Reserve(t, zone, spot, view.now);
-    return static_cast<double>(room.Holds(typical->spec.need) * typical->spec.need.cpu);
+    return static_cast<double>(t.size.Holds(typical->spec.need) * typical->spec.need.cpu);
+  };
+  const auto capacity_of = [&](const Machine& m) {
+    if (!typical || !Allows(typical->spec, *m.type, m.zone, m.spot)) return 0.0;
+    const Resources open = m.type->size - m.GangUse();
+    return static_cast<double>(open.Holds(typical->spec.need) * typical->spec.need.cpu);
   };
   double have = 0, up = 0;
   for (Machine* m : view.machines) {
     if (!Usable(*m) || m->retiring) continue;
-    const double c = capacity(*m->type, m->zone, m->spot);
+    const double c = capacity_of(*m);
     have += c;
     if (m->stage == MachineStage::kUp) up += c;
   }
@@ -208,7 +217,7 @@
       if (need <= have) break;
       if (!m->retiring || !Usable(*m)) continue;
       plan->unretire.push_back(m);
-      have += capacity(*m->type, m->zone, m->spot);
+      have += capacity_of(*m);
     }
   }
   if (typical && need > have) {
@@ -245,20 +254,20 @@
   double dearest_price = 0;
   for (Machine* m : view.machines) {
     if (!Usable(*m) || m->stage != MachineStage::kUp) continue;
-    const Resources reserve = Reserve(*m->type, m->zone, m->spot, view.now);
-    const bool for_gangs = reserve.cpu > 0 || reserve.mem > 0;
+    const bool for_gangs = ForGangs(*m->type, m->zone, m->spot, view.now);
+    const Micros gang_limit = m->type->boot.Scaled(options_.gang_idle_boots);
+    const bool gang_lately = for_gangs && view.now - m->gang_at < gang_limit;
     const Micros held = view.now - m->rented_at;
     if (m->idle_since.count >= 0) {
       const Micros limit = m->retiring ? Seconds(0)
-                           : for_gangs ? options_.gang_idle_return
-                                       : options_.idle_return;
-      if (view.now - m->idle_since >= limit && held >= kMinimumPaid) {
+                                       : m->type->boot.Scaled(options_.idle_boots);
+      if (!gang_lately && view.now - m->idle_since >= limit && held >= kMinimumPaid) {
         plan->give_back.push_back(m);
         continue;
       }
     }
-    if (m->retiring || for_gangs || held < kMinimumPaid) continue;
-    const double cap = capacity(*m->type, m->zone, m->spot);
+    if (m->retiring || gang_lately || held < kMinimumPaid) continue;
+    const double cap = capacity_of(*m);
     if (cap <= 0 || have - cap < floor) continue;
     const double price = Price(view, {m->type_name, m->zone, m->spot}) / cap;
     if (!dearest || price > dearest_price) {
--- a/src/core/autoscale.h
+++ b/src/core/autoscale.h
@@ -47,10 +47,13 @@
     refused_until_[offer] = now + options_.refusal_memory;
   }
   // New work, for the measure of what arrives.
-  void Arrived(const JobSpec& spec, Micros now);
+  // `boot`: how long a new machine takes; work that can wait for one counts for nothing here.
+  void Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros now);
+  // How long the job may take from its arrival, by its deadline or its lane's objective.
+  Micros Allowance(const JobSpec& spec, const std::vector<Objective>& objectives) const;
 
-  // What a machine keeps free for gangs that need most of it (see docs/design.md).
-  Resources Reserve(const MachineType& type, const std::string& zone, bool spot, Micros now) const;
+  // Whether gangs were seen lately that need most of such a machine.
+  bool ForGangs(const MachineType& type, const std::string& zone, bool spot, Micros now) const;
   void NoteGang(const JobSpec& spec, Micros now);
   std::string Summary() const { return summary_; }
 
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -11,27 +11,27 @@
   return std::clamp(k, 0, kBuckets - 2);
 }
 
-double WorkOn(const JobSpec& spec, const MachineType& type) {
+double WorkOn(const JobSpec& spec, const Resources& open) {
   const auto share = [](int64_t need, int64_t size) {
     return size > 0 ? static_cast<double>(need) / static_cast<double>(size) : 0.0;
   };
-  const double largest = std::max({share(spec.need.cpu, type.size.cpu),
-                                   share(spec.need.gpu, type.size.gpu),
-                                   share(spec.need.mem, type.size.mem)});
+  const double largest = std::max({share(spec.need.cpu, open.cpu),
+                                   share(spec.need.gpu, open.gpu),
+                                   share(spec.need.mem, open.mem)});
   return std::max(spec.estimate.ToSeconds(), 0.1) * largest;
 }
 
-Machine* LeastReceived(const Job& job, const std::vector<Machine*>& able) {
-  Machine* best = nullptr;
+const Able* LeastReceived(const Job& job, const std::vector<Able>& able) {
+  const Able* best = nullptr;
   double least = 0;
   bool image = false;
   const auto bucket = static_cast<size_t>(job.bucket);
-  for (Machine* m : able) {
-    const double work = m->work[bucket] + WorkOn(job.spec, *m->type);
-    const bool has = m->HasImage(job.spec.image);
+  for (const Able& a : able) {
+    const double work = a.machine->work[bucket] + WorkOn(job.spec, a.open);
+    const bool has = a.machine->HasImage(job.spec.image);
     const double slack = 1e-9 * (1 + least);
     if (!best || work < least - slack || (work < least + slack && has && !image)) {
-      best = m;
+      best = &a;
       least = work;
       image = has;
     }
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -14,14 +14,20 @@
 // Buckets are [width^k, width^(k+1)) seconds; services count in the top one.
 int BucketOf(const JobSpec& spec, double width);
 
-// A task's work on a machine: its estimate times the share of the machine that it takes (the
+// A task's work on a machine: its estimate times the share of the open part that it takes (the
 // larger of its shares of CPUs, accelerators and memory), so that machines of different sizes
 // are level when each is equally filled.
-double WorkOn(const JobSpec& spec, const MachineType& type);
+double WorkOn(const JobSpec& spec, const Resources& open);
+
+// A machine that can hold the job's tasks, and what of it is open to them.
+struct Able {
+  Machine* machine = nullptr;
+  Resources open;
+};
 
 // The machine that would have received least work of the job's bucket, this task included.
 // Among equals, one that has the job's image. Null when there is none to choose from.
-Machine* LeastReceived(const Job& job, const std::vector<Machine*>& able);
+const Able* LeastReceived(const Job& job, const std::vector<Able>& able);
 
 // A new machine begins level with its peers, or it would be flooded.
 void LevelCounters(Machine* machine, const std::vector<Machine*>& peers);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -75,6 +75,7 @@
   std::map<std::pair<TaskRef, uint64_t>, Occupant> occupants;
   std::map<QueueKey, QueueEntry> queue;
   std::vector<double> work;  // received so far, by bucket
+  Micros gang_at;  // when a gang was last on it
   bool retiring = false;
   Micros idle_since{-1};
   Micros hold_off;  // no starts before (after a refusal)
@@ -92,6 +93,8 @@
       if (!o.exited()) used = used + o.need;
     return used;
   }
+  // What gangs have on it; the rest is open to other work.
+  Resources GangUse() const;
   int Busy() const {
     int n = 0;
     for (const auto& [key, o] : occupants) n += !o.exited();
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -132,7 +132,12 @@
   } else {
     scaler_.NoteGang(spec, now);
   }
-  if (jobs_loaded_) scaler_.Arrived(spec, now);
+  if (jobs_loaded_ && !context_.types->empty()) {
+    Micros boot;
+    for (const auto& [name, type] : *context_.types) boot = std::max(boot, type.boot);
+    scaler_.Arrived(spec, scaler_.Allowance(spec, settings().objectives) - spec.estimate, boot,
+                    now);
+  }
   jobs_[spec.id] = std::move(job);
   asker()->Debug("job " + spec.id + " " + spec.lane + " tasks " + std::to_string(spec.tasks) +
                  " estimate " + std::to_string(spec.estimate.ToSeconds()));
@@ -158,6 +163,8 @@
   if (it == jobs_.end()) return;
   Job* job = it->second.get();
   CloseJob(job);
+  waiting_gangs_.erase(std::remove(waiting_gangs_.begin(), waiting_gangs_.end(), job),
+                       waiting_gangs_.end());
   asker()->Debug("job " + id + " over, " + std::to_string(job->done) + " tasks done");
   jobs_.erase(it);
   for (auto& [mid, m] : machines_) {
@@ -532,6 +539,7 @@
     Gone(now, m, &o);
     it = m->occupants.erase(it);
   }
+  if (m->GangUse().cpu > 0) m->gang_at = now;
   const bool idle = m->occupants.empty() && m->queue.empty();
   if (!idle) {
     m->idle_since = {-1};
@@ -719,7 +727,16 @@
 Resources Leader::RoomFor(const Machine& m, const Job& job, const Resources& used,
                           Micros now) const {
   Resources room = m.type->size - used;
-  if (!job.gang()) room = room - scaler_.Reserve(*m.type, m.zone, m.spot, now);
+  if (job.gang()) return room;
+  // While a gang waits, other work of no higher rank leaves it the room that it could have here.
+  const Resources most = m.type->size - m.GangUse();
+  for (const Job* gang : waiting_gangs_) {
+    const bool first = gang->spec.rank <= job.spec.rank ||
+                       now - gang->arrived > options().age_limit;
+    if (first && gang->spec.need.Fits(most) && Allows(gang->spec, *m.type, m.zone, m.spot)) {
+      return room - gang->spec.need;
+    }
+  }
   return room;
 }
 
@@ -742,6 +759,7 @@
   o.sent_seq = m->seq;
   m->NoteImage(job->spec.image);
   m->idle_since = {-1};
+  if (job->gang()) m->gang_at = now;
   return &o;
 }
 
@@ -828,19 +846,21 @@
   if (!best) return false;
   const int task = best->bound.front().first;
   best->bound.pop_front();
-  m->work[static_cast<size_t>(best->bucket)] += WorkOn(best->spec, *m->type);
+  m->work[static_cast<size_t>(best->bucket)] +=
+      WorkOn(best->spec, m->type->size - m->GangUse());
   StartOne(now, m, best, task, used, orders);
   return true;
 }
 
-void Leader::Bind(Micros now, Job* job, int task, Machine* m) {
+void Leader::Bind(Micros now, Job* job, int task, const Able& able) {
+  Machine* m = able.machine;
   TaskState& t = job->tasks[static_cast<size_t>(task)];
   t.stage = TaskStage::kQueued;
   t.machine = m;
   t.bound_at = now;
   ++job->queued;
   job->bound.emplace_back(task, now);
-  m->work[static_cast<size_t>(job->bucket)] += WorkOn(job->spec, *m->type);
+  m->work[static_cast<size_t>(job->bucket)] += WorkOn(job->spec, able.open);
   QueueEntry& entry = m->queue[QueueKey{job->spec.rank, job->spec.estimate, job->spec.id}];
   entry.job = job;
   entry.tasks.emplace_back(task, now);
@@ -858,19 +878,20 @@
         Held(*job)) {
       continue;
     }
-    std::vector<Machine*> able;
+    std::vector<Able> able;
     for (auto& [mid, m] : machines_) {
       if (!Ready(*m, now) || !Allows(job->spec, *m->type, m->zone, m->spot)) continue;
       if (!ZoneAllows(*job, m->zone)) continue;
-      if (!job->spec.need.Fits(RoomFor(*m, *job, {}, now))) continue;
-      able.push_back(m.get());
+      const Resources open = RoomFor(*m, *job, m->GangUse(), now);
+      if (!job->spec.need.Fits(open)) continue;
+      able.push_back({m.get(), open});
     }
     if (able.empty()) continue;
     while (!job->waiting.empty() && job->queued < options().bind_window) {
       const int task = job->waiting.front();
       job->waiting.pop_front();
       if (job->tasks[static_cast<size_t>(task)].stage != TaskStage::kWaiting) continue;
-      Bind(now, job, task, LeastReceived(*job, able));
+      Bind(now, job, task, *LeastReceived(*job, able));
     }
   }
 }
@@ -883,10 +904,19 @@
   for (auto& [id, job] : jobs_) {
     if (job->gang() && !job->finishing) gangs.push_back(job.get());
   }
-  std::sort(gangs.begin(), gangs.end(), [](const Job* a, const Job* b) {
-    return std::make_pair(a->spec.rank, a->arrived) < std::make_pair(b->spec.rank, b->arrived);
-  });
-  for (Job* job : gangs) GangTick(now, job);
+  // As in the machines' queues: by rank, then the smallest estimate, but the aged before all.
+  const auto order = [&](const Job* j) {
+    const bool aged = now - j->arrived > options().age_limit;
+    return std::make_tuple(j->spec.rank, !aged, aged ? j->arrived : j->spec.estimate);
+  };
+  std::sort(gangs.begin(), gangs.end(),
+            [&](const Job* a, const Job* b) { return order(a) < order(b); });
+  waiting_gangs_.clear();
+  for (Job* job : gangs) {
+    GangTick(now, job);
+    if (job->placed == 0 && now >= job->not_before && !Held(*job)) waiting_gangs_.push_back(job);
+  }
+  for (Job* job : waiting_gangs_) ClearFor(now, job);
 }
 
 void Leader::HaltGang(Micros now, Job* job, Micros grace) {
@@ -928,6 +958,54 @@
   if (!Held(*job)) PlaceGang(now, job);
 }
 
+// Even spreading leaves no machine empty enough for a gang. Where no machine has room, work of
+// lower rank is stopped on the one where that loses least; it runs again elsewhere.
+void Leader::ClearFor(Micros now, Job* gang) {
+  if (now < gang->clearing_until || !election()->MayStart(now) || gang->left() != 1) return;
+  Machine* best = nullptr;
+  double least = 0;
+  for (auto& [id, m] : machines_) {
+    if (!Ready(*m, now) || !Allows(gang->spec, *m->type, m->zone, m->spot)) continue;
+    Resources kept;
+    double lost = 0;
+    bool clearing = false;
+    for (const auto& [key, o] : m->occupants) {
+      if (o.exited()) continue;
+      clearing |= o.halt;
+      const bool may_stop = o.job && !o.job->gang() && o.job->spec.rank > gang->spec.rank &&
+                            o.job->spec.checkpoint_every.count == 0;
+      if (!may_stop) {
+        kept = kept + o.need;
+        continue;
+      }
+      const TaskState& t = o.job->tasks[static_cast<size_t>(o.ref.task)];
+      lost += (now - t.bound_at).ToSeconds() * static_cast<double>(o.need.cpu);
+    }
+    if (clearing || !gang->spec.need.Fits(m->type->size - kept)) continue;
+    if (!best || lost < least) {
+      best = m.get();
+      least = lost;
+    }
+  }
+  if (!best) return;
+  gang->clearing_until = now + Seconds(4);
+  Resources room = best->type->size - best->Used();
+  for (auto& [key, o] : best->occupants) {
+    if (gang->spec.need.Fits(room)) break;
+    if (o.exited() || o.halt || !o.job || o.job->gang() || o.job->spec.rank <= gang->spec.rank ||
+        o.job->spec.checkpoint_every.count > 0) {
+      continue;
+    }
+    o.halt = true;
+    o.grace = {};
+    room = room + o.need;
+  }
+  asker()->Debug("clearing " + best->id + " for gang " + gang->spec.id + ", " +
+                 std::to_string(static_cast<int>(least / 1000)) + " CPU seconds lost");
+  Unbind(best);
+  HaltNow(now, best);
+}
+
 bool Leader::PlaceGang(Micros now, Job* job) {
   std::vector<int> members;
   for (int i = 0; i < job->spec.tasks; ++i) {
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -83,9 +83,10 @@
   bool LimitAllows(const Job& job, int more) const;
   Resources RoomFor(const Machine& m, const Job& job, const Resources& used, Micros now) const;
   void BindWaiting(Micros now);
-  void Bind(Micros now, Job* job, int task, Machine* m);
+  void Bind(Micros now, Job* job, int task, const Able& able);
   void PlaceGangs(Micros now);
   bool PlaceGang(Micros now, Job* job);
+  void ClearFor(Micros now, Job* gang);
   void HaltGang(Micros now, Job* job, Micros grace);
   void GangTick(Micros now, Job* job);
   Occupant* Place(Micros now, Machine* m, Job* job, int task, uint64_t attempt);
@@ -141,6 +142,7 @@
   std::map<std::string, std::unique_ptr<Machine>> machines_;
   std::map<std::string, Micros> tombstones_;  // returned, may still be heard of
   std::vector<Machine*> unresolved_;
+  std::vector<Job*> waiting_gangs_;
   std::map<std::string, std::map<int, std::pair<std::string, uint64_t>>> early_progress_;
   uint64_t attempts_ = 0;
   int chunk_tasks_ = 8192;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -167,11 +167,11 @@
   Micros lease = Millis(2500);
   Micros silent_probe = Seconds(5);
   Micros silent_return = Seconds(9);
-  Micros idle_return = Seconds(25);
-  Micros gang_idle_return = Seconds(60);
+  double idle_boots = 0.6;       // idle for so many boot times: given back
+  double gang_idle_boots = 1.2;  // the same for machines that gangs need most of
   Micros drain_target = Seconds(30);
   double drain_share = 0.35;
-  double boot_patience = 4.0;
+  double boot_patience = 1.8;
   Micros refusal_memory = Seconds(20);
   int bind_window = 1024;
 };
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -32,17 +32,16 @@
   job.bucket = BucketOf(job.spec, 2.0);
   const auto bucket = static_cast<size_t>(job.bucket);
   a.work[bucket] = 100;
-  EXPECT_EQ(LeastReceived(job, {&a, &b}), &b);
+  const std::vector<Able> able = {{&a, type.size}, {&b, type.size}};
+  EXPECT_EQ(LeastReceived(job, able)->machine, &b);
   // What another bucket has received plays no part.
   b.work[bucket + 1] = 1e6;
-  EXPECT_EQ(LeastReceived(job, {&a, &b}), &b);
+  EXPECT_EQ(LeastReceived(job, able)->machine, &b);
   EXPECT_EQ(LeastReceived(job, {}), nullptr);
 }
 
 TEST(Dispatch, WorkIsMeasuredByTheShareOfTheMachine) {
-  MachineType small, large;
-  small.size = {4000, 0, 8000};
-  large.size = {32000, 0, 64000};
+  const Resources small{4000, 0, 8000}, large{32000, 0, 64000};
   JobSpec s;
   s.estimate = Seconds(10);
   s.need = {1000, 0, 1000};
