--- a/src/core/autoscale.cpp
+++ b/src/core/autoscale.cpp
@@ -24,10 +24,10 @@
 }  // namespace
 
 Micros Autoscaler::Allowance(const JobSpec& spec,
-                             const std::vector<Objective>& objectives) const {
+                             const std::vector<Objective>& objectives, double share) const {
   if (spec.due) return *spec.due;
   for (const Objective& o : objectives) {
-    if (o.lane == spec.lane && o.kind == "finished") return o.within.Scaled(options_.drain_share);
+    if (o.lane == spec.lane && o.kind == "finished") return o.within.Scaled(share);
   }
   return options_.drain_target + spec.estimate;
 }
@@ -171,7 +171,7 @@
     const double work = (open + 0.5 * job->placed) * est * static_cast<double>(s.need.cpu);
     waiting_work += open * est * static_cast<double>(s.need.cpu);
     const Micros left = std::max(
-        {job->arrived + Allowance(s, *view.objectives) - view.now, s.estimate, Seconds(5)});
+        {job->arrived + Allowance(s, *view.objectives, options_.drain_share) - view.now, s.estimate, Seconds(5)});
     wishes.push_back({left, work});
     widest += static_cast<double>(job->left()) * static_cast<double>(s.need.cpu);
   }
@@ -249,7 +249,20 @@
   }
 
   // Giving back: what has long been idle, and the dearest machine that is not needed.
-  const double floor = std::max({need, running, decayed * 1.1});
+  // A machine at about the lowest price stays as long as there is work for it; a dearer one only
+  // as long as the work would be late without it.
+  const double floor = std::max(need * 1.2, decayed * 1.1);
+  double cheapest = 0;
+  if (typical) {
+    for (const auto& [name, type] : *view.types) {
+      for (bool spot : {false, true}) {
+        const double cap = capacity(type, typical->spec.zone.value_or(""), spot);
+        if (cap <= 0) continue;
+        const double price = Price(view, {name, "", spot}) / cap;
+        if (cheapest == 0 || price < cheapest) cheapest = price;
+      }
+    }
+  }
   Machine* dearest = nullptr;
   double dearest_price = 0;
   for (Machine* m : view.machines) {
@@ -268,8 +281,9 @@
     }
     if (m->retiring || gang_lately || held < kMinimumPaid) continue;
     const double cap = capacity_of(*m);
-    if (cap <= 0 || have - cap < floor) continue;
+    if (cap <= 0) continue;
     const double price = Price(view, {m->type_name, m->zone, m->spot}) / cap;
+    if (have - cap < (price > 1.6 * cheapest ? floor : std::max(floor, running))) continue;
     if (!dearest || price > dearest_price) {
       dearest = m;
       dearest_price = price;
--- a/src/core/autoscale.h
+++ b/src/core/autoscale.h
@@ -50,7 +50,8 @@
   // `boot`: how long a new machine takes; work that can wait for one counts for nothing here.
   void Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros now);
   // How long the job may take from its arrival, by its deadline or its lane's objective.
-  Micros Allowance(const JobSpec& spec, const std::vector<Objective>& objectives) const;
+  Micros Allowance(const JobSpec& spec, const std::vector<Objective>& objectives,
+                   double share) const;
 
   // Whether gangs were seen lately that need most of such a machine.
   bool ForGangs(const MachineType& type, const std::string& zone, bool spot, Micros now) const;
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -135,7 +135,7 @@
   if (jobs_loaded_ && !context_.types->empty()) {
     Micros boot;
     for (const auto& [name, type] : *context_.types) boot = std::max(boot, type.boot);
-    scaler_.Arrived(spec, scaler_.Allowance(spec, settings().objectives) - spec.estimate, boot,
+    scaler_.Arrived(spec, scaler_.Allowance(spec, settings().objectives, 1.0) - spec.estimate, boot,
                     now);
   }
   jobs_[spec.id] = std::move(job);
