--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -12,13 +12,8 @@
 }
 
 double WorkOn(const JobSpec& spec, const Resources& open) {
-  const auto share = [](int64_t need, int64_t size) {
-    return size > 0 ? static_cast<double>(need) / static_cast<double>(size) : 0.0;
-  };
-  const double largest = std::max({share(spec.need.cpu, open.cpu),
-                                   share(spec.need.gpu, open.gpu),
-                                   share(spec.need.mem, open.mem)});
-  return std::max(spec.estimate.ToSeconds(), 0.1) * largest;
+  const auto places = static_cast<double>(std::max<int64_t>(1, open.Holds(spec.need)));
+  return std::max(spec.estimate.ToSeconds(), 0.1) / places;
 }
 
 const Able* LeastReceived(const Job& job, const std::vector<Able>& able) {
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -14,9 +14,9 @@
 // Buckets are [width^k, width^(k+1)) seconds; services count in the top one.
 int BucketOf(const JobSpec& spec, double width);
 
-// A task's work on a machine: its estimate times the share of the open part that it takes (the
-// larger of its shares of CPUs, accelerators and memory), so that machines of different sizes
-// are level when each is equally filled.
+// A task's work on a machine: its estimate divided by how many such tasks the open part holds, so
+// that machines of different sizes are level when each is equally filled, and one that such tasks
+// fill badly gets fewer of them.
 double WorkOn(const JobSpec& spec, const Resources& open);
 
 // A machine that can hold the job's tasks, and what of it is open to them.
