--- a/src/core/autoscale.cpp
+++ b/src/core/autoscale.cpp
@@ -34,11 +34,18 @@
 
 void Autoscaler::Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros now) {
   if (spec.shape != Shape::kArray || slack > boot.Scaled(1.5)) return;
-  const double dt = (now - rate_at_).ToSeconds();
-  arrival_rate_ *= std::exp(-dt / kRateWindow.ToSeconds());
-  rate_at_ = now;
-  arrival_rate_ += static_cast<double>(spec.need.cpu) * spec.tasks * spec.estimate.ToSeconds() /
-                   kRateWindow.ToSeconds();
+  const double work =
+      static_cast<double>(spec.need.cpu) * spec.tasks * spec.estimate.ToSeconds();
+  urgent_.Add(work, now);
+}
+
+double Autoscaler::Rate::At(Micros now) const {
+  return value * std::exp(-(now - at).ToSeconds() / kRateWindow.ToSeconds());
+}
+
+void Autoscaler::Rate::Add(double work, Micros now) {
+  value = At(now) + work / kRateWindow.ToSeconds();
+  at = now;
 }
 
 void Autoscaler::NoteGang(const JobSpec& spec, Micros now) {
@@ -203,8 +210,7 @@
   for (const auto& [offer, count] : view.pending) {
     have += count * capacity(view.types->at(offer.type), offer.zone, offer.spot);
   }
-  const double decayed =
-      arrival_rate_ * std::exp(-(view.now - rate_at_).ToSeconds() / kRateWindow.ToSeconds());
+  const double decayed = urgent_.At(view.now);
   summary_ += "need " + std::to_string(static_cast<int>(need / 1000)) + " have " +
               std::to_string(static_cast<int>(have / 1000)) + " up " +
               std::to_string(static_cast<int>(up / 1000)) + " running " +
--- a/src/core/autoscale.h
+++ b/src/core/autoscale.h
@@ -66,8 +66,14 @@
 
   const Options& options_;
   std::map<Offer, Micros> refused_until_;
-  double arrival_rate_ = 0;  // CPU seconds a second, in thousandths, decaying
-  Micros rate_at_;
+  // Arriving work in thousandths of a CPU, over the last minute and a half.
+  struct Rate {
+    double value = 0;
+    Micros at;
+    double At(Micros now) const;
+    void Add(double work, Micros now);
+  };
+  Rate urgent_;  // what can't wait for a boot
   struct GangNeed {
     JobSpec spec;
     Micros last;
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -1426,11 +1426,20 @@
 void Leader::CountPaid(Micros now) {
   const double dt = paid_at_.count == 0 ? 0 : (now - paid_at_).ToSeconds();
   paid_at_ = now;
+  bool work_waits = false;
+  for (auto& [id, job] : jobs_) work_waits |= job->queued > 0 || !job->waiting.empty();
   for (auto& [id, m] : machines_) {
     if (!m->type || m->type->size.cpu == 0) continue;
     Paid& p = paid_[Offer{m->type_name, "", m->spot}];
     p.held += dt;
-    if (m->stage == MachineStage::kBooting) p.boot += dt;
+    if (m->stage == MachineStage::kBooting) {
+      p.boot += dt;
+      continue;
+    }
+    if (!work_waits) {
+      p.short_of_work += dt * static_cast<double>((m->type->size - m->Used()).cpu) /
+                         static_cast<double>(m->type->size.cpu);
+    }
     for (auto& [key, o] : m->occupants) {
       const double share =
           static_cast<double>(o.need.cpu) / static_cast<double>(m->type->size.cpu) * dt;
@@ -1446,7 +1455,8 @@
     };
     asker()->Debug("paid " + offer.type + (offer.spot ? " (spot) " : " ") +
                    std::to_string(static_cast<int>(p.held)) + " s: boot " + percent(p.boot) +
-                   ", run " + percent(p.used) + ", fetch " + percent(p.fetching));
+                   ", run " + percent(p.used) + ", fetch " + percent(p.fetching) +
+                   ", no work " + percent(p.short_of_work));
   }
 }
 
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -160,7 +160,7 @@
 
   // What was paid for in this term, in machine seconds, for the log.
   struct Paid {
-    double held = 0, boot = 0, used = 0, fetching = 0;
+    double held = 0, boot = 0, used = 0, fetching = 0, short_of_work = 0;
   };
   std::map<Offer, Paid> paid_;
   Micros paid_at_;
