Gangs that can't start in time go after those that still can

Change: late ones after those that can start within the lane's objective; they age three times as slowly.

--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -35,6 +35,7 @@
   uint64_t stamp = 0;   // version of its durable record
   Micros arrived;       // on the leader's steady clock, from the time of day at submission
   int bucket = 0;
+  Micros start_by = kNever;  // by its lane's objective
   std::vector<TaskState> tasks;
   int done = 0;
   int placed = 0;
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -124,6 +124,9 @@
   job->stamp = stamp;
   const int64_t today_ms = began_ms_ + (now - began_).ToMillis();
   job->arrived = now - Millis(std::clamp<int64_t>(today_ms - spec.submitted_ms, 0, 86400000));
+  for (const Objective& o : settings().objectives) {
+    if (o.kind == "wait" && o.lane == spec.lane) job->start_by = job->arrived + o.within;
+  }
   job->bucket = BucketOf(spec, options().bucket_width);
   job->tasks.resize(static_cast<size_t>(spec.tasks));
   job->chunks.resize(static_cast<size_t>((spec.tasks + chunk_tasks_ - 1) / chunk_tasks_));
@@ -904,10 +907,13 @@
   for (auto& [id, job] : jobs_) {
     if (job->gang() && !job->finishing) gangs.push_back(job.get());
   }
-  // As in the machines' queues: by rank, then the smallest estimate, but the aged before all.
+  // As in the machines' queues: by rank, then the smallest estimate, but the aged before all. What
+  // can't start in time any more goes after what can, or in a day of too many gangs every one
+  // would be late; it ages all the same, three times as slowly.
   const auto order = [&](const Job* j) {
-    const bool aged = now - j->arrived > options().age_limit;
-    return std::make_tuple(j->spec.rank, !aged, aged ? j->arrived : j->spec.estimate);
+    const bool late = now > j->start_by;
+    const bool aged = now - j->arrived > options().age_limit.Scaled(late ? 3 : 1);
+    return std::make_tuple(j->spec.rank, !aged, late, aged ? j->arrived : j->spec.estimate);
   };
   std::sort(gangs.begin(), gangs.end(),
             [&](const Job* a, const Job* b) { return order(a) < order(b); });
