--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -37,8 +37,29 @@
   return true;
 }
 
+void Node::LogWaits() {
+  const double all = boost::histogram::algorithm::sum(waits_);
+  if (all == 0) return;
+  const auto quantile = [&](double q) {
+    double seen = 0;
+    for (auto&& bin : boost::histogram::indexed(waits_, boost::histogram::coverage::all)) {
+      seen += *bin;
+      if (seen >= q * all) return bin.bin().upper();
+    }
+    return waits_.axis().value(waits_.axis().size());
+  };
+  spdlog::info("{} answers to users: half within {:.1f} ms, 95% within {:.1f} ms", all,
+               quantile(0.5), quantile(0.95));
+  waits_.reset();
+}
+
 io::Task<void> Node::Ticks() {
+  waits_logged_ = io::Loop::Now();
   for (;;) {
+    if (io::Loop::Now() - waits_logged_ > Seconds(60)) {
+      waits_logged_ = io::Loop::Now();
+      LogWaits();
+    }
     core_.Tick(io::Loop::Now(), io::Loop::TimeOfDayMs());
     Flush();
     co_await loop_->Sleep(kTick);
@@ -161,6 +182,7 @@
   Flush();
   std::optional<UserAnswer> answer = co_await slot.Wait(now + Seconds(4));
   users_.erase(token);
+  waits_(static_cast<double>((io::Loop::Now() - now).count) / 1000.0);
   if (!answer) co_return Plain(503, "no answer in time");
   co_return http::ServerAnswer{answer->status, wire::FormatAnswer(*answer), answer->retry_after_s};
 }
--- a/src/adapters/node.h
+++ b/src/adapters/node.h
@@ -1,6 +1,7 @@
 // A running controller: the core on the loop, with its edges.
 #pragma once
 
+#include <boost/histogram.hpp>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -36,6 +37,13 @@
   CloudClient cloud_;
   peer::Link link_;
   http::Server server_;
+  // How long users waited for their answers, in milliseconds, since the last line in the log.
+  using LogAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+  using Waits = decltype(boost::histogram::make_histogram(LogAxis(48, 0.1, 10000.0)));
+  Waits waits_ = boost::histogram::make_histogram(LogAxis(48, 0.1, 10000.0));
+  void LogWaits();
+  Micros waits_logged_;
+
   bool flushing_ = false;
   RequestId next_token_ = 0;
   std::unordered_map<RequestId, io::Slot<UserAnswer>*> users_;
--- a/src/core/autoscale.cpp
+++ b/src/core/autoscale.cpp
@@ -163,7 +163,7 @@
     double work;
   };
   std::vector<Wish> wishes;
-  double running = 0, waiting_work = 0, widest = 0;
+  double running = 0, waiting_work = 0, widest = 0, replicas = 0;
   for (const Job* job : view.jobs) {
     if (job->gang() || job->finishing) continue;
     const JobSpec& s = job->spec;
@@ -171,7 +171,7 @@
     if (!typical || job->left() > typical->left()) typical = job;
     running += static_cast<double>(job->placed) * static_cast<double>(s.need.cpu);
     if (job->service()) {
-      widest += static_cast<double>(open) * static_cast<double>(s.need.cpu);
+      replicas += static_cast<double>(job->left()) * static_cast<double>(s.need.cpu);
       continue;
     }
     const double est = std::max(1.0, s.estimate.ToSeconds());
@@ -189,7 +189,7 @@
     sum += w.work;
     need = std::max(need, sum / w.left.ToSeconds());
   }
-  need = std::min(need, widest);
+  need = std::min(need, widest) + replicas;
 
   const auto capacity = [&](const MachineType& t, const std::string& zone, bool spot) {
     if (!typical || !Allows(typical->spec, t, zone, spot)) return 0.0;
@@ -239,7 +239,7 @@
         const double cap = capacity(t, o.zone, o.spot);
         if (cap <= 0) continue;
         // What is there may do the work before the new machine is up.
-        if (up > 0 && waiting_work / up < t.boot.ToSeconds()) continue;
+        if (up > 0 && replicas == 0 && waiting_work / up < t.boot.ToSeconds()) continue;
         const double cost = Price(view, o) / std::min(cap, std::max(deficit, 1.0));
         if (!best || cost < best_cost) {
           best = &o;
@@ -254,6 +254,25 @@
     for (const auto& [offer, count] : wanted) plan->rent.push_back({offer, count});
   }
 
+  // The measure above speaks of the job with most left. One that no machine at hand can hold gets
+  // a machine of its own.
+  for (const Job* job : view.jobs) {
+    if (job->gang() || job->finishing || job->left() == job->placed) continue;
+    bool held = !plan->rent.empty();
+    for (Machine* m : view.machines) {
+      held |= Usable(*m) && !m->retiring && Allows(job->spec, *m->type, m->zone, m->spot);
+    }
+    for (const auto& [offer, count] : view.pending) {
+      held |= Allows(job->spec, view.types->at(offer.type), offer.zone, offer.spot);
+    }
+    if (held) continue;
+    const std::vector<Offer> offers = OffersFor(view, job->spec);
+    const auto best = std::min_element(offers.begin(), offers.end(), [&](auto& a, auto& b) {
+      return Price(view, a) < Price(view, b);
+    });
+    if (best != offers.end()) plan->rent.push_back({*best, 1});
+  }
+
   // Giving back: what has long been idle, and the dearest machine that is not needed.
   // A machine at about the lowest price stays as long as there is work for it; a dearer one only
   // as long as the work would be late without it.
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -40,6 +40,7 @@
   int done = 0;
   int placed = 0;
   int running = 0;
+  bool guaranteed = false;  // its team's unfinished jobs fit within the team's guarantee
   std::map<std::string, int> zone_count;  // tasks on machines, or perhaps there
   bool finishing = false;  // all done, the end is being written
 
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -253,6 +253,21 @@
   return false;
 }
 
+// While all of a team's unfinished jobs fit within its guarantee, they go before other teams' work.
+void Leader::MarkGuaranteed() {
+  for (const Team& team : settings().teams) {
+    if (team.guarantee.cpu == 0 && team.guarantee.gpu == 0) continue;
+    Resources all;
+    for (auto& [id, job] : jobs_) {
+      if (job->spec.team == team.name) all = all + job->spec.need.Times(job->left());
+    }
+    const bool fits = all.cpu <= team.guarantee.cpu && all.gpu <= team.guarantee.gpu;
+    for (auto& [id, job] : jobs_) {
+      if (job->spec.team == team.name) job->guaranteed = fits;
+    }
+  }
+}
+
 bool Leader::LimitAllows(const Job& job, int more) const {
   const Team* team = settings().FindTeam(job.spec.team);
   if (!team || (team->limit.cpu == 0 && team->limit.gpu == 0)) return true;
@@ -813,8 +828,12 @@
       continue;
     }
     // The queue is in order of estimate; among the aged, the oldest goes first.
-    if (!best || job->arrived < best->job->arrived) best = &entry;
-    if (!aged_only) break;
+    if (!best || (job->guaranteed && !best->job->guaranteed) ||
+        (aged_only && job->guaranteed == best->job->guaranteed &&
+         job->arrived < best->job->arrived)) {
+      best = &entry;
+    }
+    if (!aged_only && best->job->guaranteed) break;
   }
   if (!best) return false;
   const int task = best->tasks.front().first;
@@ -835,8 +854,10 @@
       job->bound.pop_front();
     }
     if (job->bound.empty() || now - job->bound.front().second < options().rebind_wait) continue;
-    if (best && std::make_pair(best->spec.rank, best->spec.estimate) <=
-                    std::make_pair(job->spec.rank, job->spec.estimate)) {
+    const auto order = [](const Job* j) {
+      return std::make_tuple(!j->guaranteed, j->spec.rank, j->spec.estimate);
+    };
+    if (best && order(best) <= order(job)) {
       continue;
     }
     if (!Allows(job->spec, *m->type, m->zone, m->spot) ||
@@ -913,7 +934,7 @@
   const auto order = [&](const Job* j) {
     const bool late = now > j->start_by;
     const bool aged = now - j->arrived > options().age_limit.Scaled(late ? 3 : 1);
-    return std::make_tuple(j->spec.rank, !aged, late, aged ? j->arrived : j->spec.estimate);
+    return std::make_tuple(!j->guaranteed, j->spec.rank, !aged, late, aged ? j->arrived : j->spec.estimate);
   };
   std::sort(gangs.begin(), gangs.end(),
             [&](const Job* a, const Job* b) { return order(a) < order(b); });
@@ -1071,6 +1092,7 @@
   if (!ready_) return;
   WatchMachines(now);
   if (!election()->leads()) return;
+  MarkGuaranteed();
   PlaceGangs(now);
   BindWaiting(now);
   Write(now);
@@ -1410,6 +1432,14 @@
     asker()->Debug("retiring " + m->id);
     m->retiring = true;
     Unbind(m);
+    // Replicas end only when they are told to; they go on elsewhere.
+    bool any = false;
+    for (auto& [key, o] : m->occupants) {
+      if (!o.job || !o.job->service() || o.exited() || o.halt) continue;
+      o.halt = any = true;
+      o.grace = o.job->spec.save_time;
+    }
+    if (any) HaltNow(now, m);
     if (m->occupants.empty() && m->idle_since.count < 0) m->idle_since = now;
   }
   for (Machine* m : plan.give_back) {
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -80,6 +80,7 @@
   // Tasks.
   void MarkDone(Micros now, Job* job, int task);
   void TaskBack(Micros now, Job* job, int task, Micros pause);
+  void MarkGuaranteed();
   bool LimitAllows(const Job& job, int more) const;
   Resources RoomFor(const Machine& m, const Job& job, const Resources& used, Micros now) const;
   void BindWaiting(Micros now);
