What a boot can't bring in time is worked off at leisure

Cause: arrays already late, or late before any new machine is up, asked for capacity as if they could still be in time.

--- a/src/core/autoscale.cpp
+++ b/src/core/autoscale.cpp
@@ -164,6 +164,8 @@
   };
   std::vector<Wish> wishes;
   double running = 0, waiting_work = 0, widest = 0, replicas = 0;
+  Micros quickest = kNever;
+  for (const auto& [name, type] : *view.types) quickest = std::min(quickest, type.boot);
   for (const Job* job : view.jobs) {
     if (job->gang() || job->finishing) continue;
     const JobSpec& s = job->spec;
@@ -177,8 +179,9 @@
     const double est = std::max(1.0, s.estimate.ToSeconds());
     const double work = (open + 0.5 * job->placed) * est * static_cast<double>(s.need.cpu);
     waiting_work += open * est * static_cast<double>(s.need.cpu);
-    const Micros left = std::max(
-        {job->arrived + Allowance(s, *view.objectives, options_.drain_share) - view.now, s.estimate, Seconds(5)});
+    Micros left = job->arrived + Allowance(s, *view.objectives, options_.drain_share) - view.now;
+    // What a machine that boots now can't bring in time is worked off at leisure.
+    if (left < s.estimate + quickest) left = options_.drain_target + s.estimate;
     wishes.push_back({left, work});
     widest += static_cast<double>(job->left()) * static_cast<double>(s.need.cpu);
   }
