--- a/src/core/types.h
+++ b/src/core/types.h
@@ -162,7 +162,7 @@
 // The operators' own settings (YAML), with the defaults that hold without a file.
 struct Options {
   double bucket_width = 2.0;
-  Micros rebind_wait = Seconds(10);
+  Micros rebind_wait = Seconds(3);
   Micros age_limit = Seconds(120);
   Micros lease = Millis(2500);
   Micros silent_probe = Seconds(5);
