--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -16,17 +16,23 @@
 namespace badgershore {
 namespace {
 
-// A port that was free a moment ago.
+// A port below the range that outgoing connections take theirs from: one of those could
+// otherwise hold a node's port just when the node starts again. Each is given once.
 std::string FreeAddress() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in sa{};
-  sa.sin_family = AF_INET;
-  sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t len = sizeof(sa);
-  EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&sa), sizeof(sa)), 0);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&sa), &len);
-  ::close(fd);
-  return "127.0.0.1:" + std::to_string(ntohs(sa.sin_port));
+  static int next = 12000 + static_cast<int>(getpid() * 37 % 18000);
+  for (int tries = 0; tries < 1000; ++tries) {
+    const int port = next++;
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in sa{};
+    sa.sin_family = AF_INET;
+    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    sa.sin_port = htons(static_cast<uint16_t>(port));
+    const bool free = ::bind(fd, reinterpret_cast<sockaddr*>(&sa), sizeof(sa)) == 0;
+    ::close(fd);
+    if (free) return "127.0.0.1:" + std::to_string(port);
+  }
+  ADD_FAILURE() << "no free port";
+  return "127.0.0.1:1";
 }
 
 struct NodeProcess {
