--- /dev/null
+++ b/src/adapters/cloud_client.h
@@ -0,0 +1,21 @@
+// The cloud's edge: rentals, returns, lists and types, within its rate.
+#pragma once
+
+#include "core/effects.h"
+#include "http/client.h"
+
+namespace badgershore::adapters {
+
+class CloudClient {
+ public:
+  CloudClient(io::Loop* loop, const PlatformSettings& settings);
+  io::Task<CloudReply> Run(CloudOp op);
+
+ private:
+  io::Loop* loop_;
+  double rate_;
+  Micros next_;
+  http::Client client_;
+};
+
+}  // namespace badgershore::adapters
--- /dev/null
+++ b/src/adapters/node.cpp
@@ -0,0 +1,183 @@
+#include "adapters/node.h"
+
+#include <spdlog/spdlog.h>
+
+#include "wire/messages.h"
+
+namespace badgershore::adapters {
+namespace {
+
+constexpr Micros kTick = Millis(100);
+
+http::ServerAnswer Plain(int status, const char* error) {
+  return {status, std::string("{\"error\":\"") + error + "\"}", status == 503 ? 1 : 0};
+}
+
+}  // namespace
+
+Node::Node(io::Loop* loop, PlatformSettings settings, Options options)
+    : loop_(loop),
+      settings_(settings),
+      core_(settings, options),
+      state_(loop, settings),
+      cloud_(loop, settings),
+      link_(loop, settings,
+            [this](PeerNote note) {
+              core_.OnPeer(io::Loop::Now(), note);
+              Flush();
+            }),
+      server_(
+          loop, [this](http::Message m) { return Handle(std::move(m)); },
+          static_cast<size_t>(settings.quota_connections) * 7 / 10) {}
+
+bool Node::Start(std::string* error) {
+  if (!server_.Start(settings_.client_listen, error)) return false;
+  if (!link_.Start(error)) return false;
+  io::Spawn(Ticks());
+  return true;
+}
+
+io::Task<void> Node::Ticks() {
+  for (;;) {
+    core_.Tick(io::Loop::Now(), io::Loop::TimeOfDayMs());
+    Flush();
+    co_await loop_->Sleep(kTick);
+  }
+}
+
+void Node::Flush() {
+  // An operation that ends at once feeds the core again; the outermost call goes on with it.
+  if (std::exchange(flushing_, true)) return;
+  for (;;) {
+    Effects out = core_.Take();
+    bool any = false;
+    for (LogLine& line : out.log) {
+      any = true;
+      switch (line.level) {
+        case LogLine::Level::kError: spdlog::error("{}", line.text); break;
+        case LogLine::Level::kInfo: spdlog::info("{}", line.text); break;
+        case LogLine::Level::kDebug: spdlog::debug("{}", line.text); break;
+      }
+    }
+    for (CheckinAnswer& a : out.checkins) {
+      any = true;
+      auto it = checkins_.find(a.token);
+      if (it != checkins_.end()) it->second->Set(std::move(a));
+    }
+    for (UserAnswer& a : out.answers) {
+      any = true;
+      auto it = users_.find(a.token);
+      if (it != users_.end()) it->second->Set(std::move(a));
+    }
+    for (PeerNote& n : out.notes) {
+      any = true;
+      link_.Send(n);
+    }
+    for (StateOp& op : out.state) {
+      any = true;
+      io::Spawn(RunState(std::move(op)));
+    }
+    for (CloudOp& op : out.cloud) {
+      any = true;
+      io::Spawn(RunCloud(std::move(op)));
+    }
+    for (DirectOp& op : out.direct) {
+      any = true;
+      io::Spawn(RunDirect(std::move(op)));
+    }
+    if (!any) break;
+  }
+  flushing_ = false;
+}
+
+io::Task<void> Node::RunState(StateOp op) {
+  const RequestId id = op.id;
+  StateReply reply = co_await state_.Run(std::move(op));
+  core_.OnState(io::Loop::Now(), id, std::move(reply));
+  Flush();
+}
+
+io::Task<void> Node::RunCloud(CloudOp op) {
+  const RequestId id = op.id;
+  CloudReply reply = co_await cloud_.Run(std::move(op));
+  core_.OnCloud(io::Loop::Now(), id, std::move(reply));
+  Flush();
+}
+
+io::Task<void> Node::RunDirect(DirectOp op) {
+  const RequestId id = op.id;
+  http::Client client(loop_, op.endpoint, 0, http::Limits{8192, 16384, 1024 * 1024});
+  std::string body = wire::FormatDirect(op);
+  http::ClientAnswer answer =
+      co_await client.Request("POST", "/do", std::move(body), Seconds(3));
+  DirectReply reply;
+  if (answer.answered()) {
+    reply.status = answer.status;
+    reply.report = wire::ParseReport(answer.body);
+  }
+  core_.OnDirect(io::Loop::Now(), id, std::move(reply));
+  Flush();
+}
+
+io::Task<http::ServerAnswer> Node::Handle(http::Message request) {
+  std::string path = request.target.substr(0, request.target.find('?'));
+  if (path == "/checkin") {
+    if (request.method != "POST") co_return Plain(405, "POST only");
+    co_return co_await HandleCheckin(std::move(request));
+  }
+  if (path == "/healthz") {
+    if (core_.Healthy(io::Loop::Now())) co_return http::ServerAnswer{200, "{\"ok\":true}", 0};
+    co_return Plain(503, "not ready");
+  }
+  if (path == "/work" || path.compare(0, 6, "/work/") == 0) {
+    co_return co_await HandleWork(std::move(request), std::move(path));
+  }
+  co_return Plain(404, "no such path");
+}
+
+io::Task<http::ServerAnswer> Node::HandleWork(http::Message request, std::string path) {
+  const RequestId token = ++next_token_;
+  io::Slot<UserAnswer> slot(loop_);
+  static const std::string kWithdraw = "/withdraw";
+  std::string id = path.size() > 6 ? path.substr(6) : std::string();
+  const bool withdraw = id.size() > kWithdraw.size() &&
+                        id.compare(id.size() - kWithdraw.size(), kWithdraw.size(), kWithdraw) == 0;
+  if (withdraw) id.resize(id.size() - kWithdraw.size());
+  if (id.empty() || withdraw) {
+    if (request.method != "POST") co_return Plain(405, "POST only");
+  } else if (request.method != "GET") {
+    co_return Plain(405, "GET only");
+  }
+  if (!id.empty() && !wire::ValidJobId(id)) co_return Plain(404, "no such job");
+  users_[token] = &slot;
+  const Micros now = io::Loop::Now();
+  if (id.empty()) {
+    core_.OnSubmit(now, token, wire::ParseSubmission(request.body, io::Loop::TimeOfDayMs()));
+  } else if (withdraw) {
+    core_.OnWithdraw(now, token, id);
+  } else {
+    core_.OnQuery(now, token, id);
+  }
+  Flush();
+  std::optional<UserAnswer> answer = co_await slot.Wait(now + Seconds(4));
+  users_.erase(token);
+  if (!answer) co_return Plain(503, "no answer in time");
+  co_return http::ServerAnswer{answer->status, wire::FormatAnswer(*answer), answer->retry_after_s};
+}
+
+io::Task<http::ServerAnswer> Node::HandleCheckin(http::Message request) {
+  const std::optional<Report> report = wire::ParseReport(request.body);
+  if (!report) co_return Plain(400, "malformed report");
+  const RequestId token = ++next_token_;
+  io::Slot<CheckinAnswer> slot(loop_);
+  checkins_[token] = &slot;
+  const Micros now = io::Loop::Now();
+  core_.OnCheckin(now, token, *report);
+  Flush();
+  std::optional<CheckinAnswer> answer = co_await slot.Wait(now + Seconds(3));
+  checkins_.erase(token);
+  if (!answer) co_return Plain(503, "no answer in time");
+  co_return http::ServerAnswer{answer->status, wire::FormatCheckinAnswer(*answer), 0};
+}
+
+}  // namespace badgershore::adapters
--- /dev/null
+++ b/src/adapters/node.h
@@ -0,0 +1,45 @@
+// A running controller: the core on the loop, with its edges.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "adapters/cloud_client.h"
+#include "adapters/state_client.h"
+#include "core/controller.h"
+#include "http/server.h"
+#include "peer/link.h"
+
+namespace badgershore::adapters {
+
+class Node {
+ public:
+  Node(io::Loop* loop, PlatformSettings settings, Options options);
+  bool Start(std::string* error);
+
+ private:
+  io::Task<http::ServerAnswer> Handle(http::Message request);
+  io::Task<http::ServerAnswer> HandleWork(http::Message request, std::string path);
+  io::Task<http::ServerAnswer> HandleCheckin(http::Message request);
+  io::Task<void> Ticks();
+  io::Task<void> RunState(StateOp op);
+  io::Task<void> RunCloud(CloudOp op);
+  io::Task<void> RunDirect(DirectOp op);
+  // Carries out what the core has asked for since the last time.
+  void Flush();
+
+  io::Loop* loop_;
+  PlatformSettings settings_;
+  Controller core_;
+  StateClient state_;
+  CloudClient cloud_;
+  peer::Link link_;
+  http::Server server_;
+  bool flushing_ = false;
+  RequestId next_token_ = 0;
+  std::unordered_map<RequestId, io::Slot<UserAnswer>*> users_;
+  std::unordered_map<RequestId, io::Slot<CheckinAnswer>*> checkins_;
+};
+
+}  // namespace badgershore::adapters
--- /dev/null
+++ b/src/adapters/state_client.cpp
@@ -0,0 +1,146 @@
+#include "adapters/state_client.h"
+
+#include "wire/messages.h"
+
+namespace badgershore::adapters {
+namespace {
+
+using Kind = StateOp::Kind;
+using Outcome = StateReply::Outcome;
+
+// A list or watch answer may be large, but a controller's memory is not.
+constexpr http::Limits kLimits{8 * 1024, 16 * 1024, 4 * 1024 * 1024};
+
+StateReply Refused() {
+  StateReply r;
+  r.outcome = Outcome::kRefused;
+  return r;
+}
+
+}  // namespace
+
+StateClient::StateClient(io::Loop* loop, const PlatformSettings& settings)
+    : loop_(loop),
+      // An equal share for each controller, and some left over for bursts elsewhere.
+      rate_(settings.state_rps * 0.9 / static_cast<double>(settings.members.size() + 1)),
+      tokens_(rate_),
+      tokens_at_(io::Loop::Now()),
+      answered_at_(io::Loop::Now()),
+      requests_(loop, settings.state_addr, 8, kLimits),
+      watches_(loop, settings.state_addr, 3, kLimits) {}
+
+io::Task<bool> StateClient::Pace() {
+  const Micros start = io::Loop::Now();
+  bool granted = false;
+  ++queued_;
+  for (;;) {
+    const Micros now = io::Loop::Now();
+    tokens_ = std::min(rate_, tokens_ + rate_ * (now - tokens_at_).ToSeconds());
+    tokens_at_ = now;
+    if (tokens_ >= 1) {
+      tokens_ -= 1;
+      granted = true;
+      break;
+    }
+    if (now - start > Seconds(1) || queued_ > 200) break;
+    co_await loop_->Sleep(Millis(20));
+  }
+  --queued_;
+  co_return granted;
+}
+
+io::Task<StateReply> StateClient::Run(StateOp op) {
+  const bool lease = op.kind == Kind::kTouch || op.kind == Kind::kGrant || op.kind == Kind::kRelease;
+  const bool watch = op.kind == Kind::kWatch;
+  if (!lease && !watch) {
+    const bool granted = co_await Pace();
+    if (!granted) co_return Refused();
+  }
+  const bool dark = unanswered_ >= 3 && io::Loop::Now() - answered_at_ > Seconds(2);
+  if (dark && !lease && !watch && trying_ > 0) co_return Refused();
+  std::string method = "GET", target, body;
+  Micros timeout = Millis(1500);
+  switch (op.kind) {
+    case Kind::kGet:
+      target = "/store/" + op.key;
+      break;
+    case Kind::kList:
+      target = "/store?starts=" + op.key + "&limit=500";
+      if (!op.after.empty()) target += "&since=" + op.after;
+      timeout = Seconds(4);
+      break;
+    case Kind::kCommit:
+      method = "POST";
+      target = "/commit";
+      body = wire::FormatCommit(op);
+      break;
+    case Kind::kGrant:
+      method = "POST";
+      target = "/grants";
+      body = wire::FormatGrant(op);
+      timeout = Millis(1000);
+      break;
+    case Kind::kTouch:
+      method = "POST";
+      target = "/grants/" + std::to_string(op.lease) + "/touch";
+      body = "{}";
+      timeout = Millis(1000);
+      break;
+    case Kind::kRelease:
+      method = "DELETE";
+      target = "/grants/" + std::to_string(op.lease);
+      timeout = Millis(1000);
+      break;
+    case Kind::kWatch:
+      target = "/changes?starts=" + op.key + "&since=" + std::to_string(op.revision) +
+               "&waitMs=" + std::to_string(op.span.ToMillis());
+      timeout = op.span + Seconds(3);
+      break;
+  }
+  http::Client& client = watch ? watches_ : requests_;
+  ++trying_;
+  http::ClientAnswer answer =
+      co_await client.Request(std::move(method), std::move(target), std::move(body), timeout);
+  --trying_;
+  StateReply reply;
+  if (!answer.answered()) {
+    if (!watch) ++unanswered_;
+    reply.outcome = answer.outcome == http::ClientAnswer::Outcome::kNotSent ? Outcome::kRefused
+                                                                            : Outcome::kUnknown;
+    co_return reply;
+  }
+  unanswered_ = 0;
+  answered_at_ = io::Loop::Now();
+  bool good = true;
+  switch (answer.status) {
+    case 200:
+      reply.outcome = Outcome::kOk;
+      if (op.kind == Kind::kGet) good = wire::ParseEntry(answer.body, &reply);
+      if (op.kind == Kind::kList) good = wire::ParseEntries(answer.body, &reply);
+      if (op.kind == Kind::kCommit) good = wire::ParseCommit(answer.body, &reply);
+      if (op.kind == Kind::kGrant) good = wire::ParseGrant(answer.body, &reply);
+      if (op.kind == Kind::kWatch) good = wire::ParseChanges(answer.body, &reply);
+      if (!good) reply.outcome = Outcome::kUnknown;
+      break;
+    case 404:
+      reply.outcome = Outcome::kMissing;
+      break;
+    case 409:
+      reply.outcome = Outcome::kConflict;
+      wire::ParseCommit(answer.body, &reply);
+      break;
+    case 410:
+      reply.outcome = Outcome::kCompacted;
+      break;
+    case 429:
+    case 503:
+      reply.outcome = Outcome::kRefused;
+      break;
+    default:
+      reply.outcome = answer.status >= 200 && answer.status < 300 ? Outcome::kOk
+                                                                  : Outcome::kInvalid;
+  }
+  co_return reply;
+}
+
+}  // namespace badgershore::adapters
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,217 @@
+#include "config/config.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <fstream>
+#include <functional>
+#include <map>
+#include <sstream>
+
+#include "wire/json.h"
+
+namespace badgershore::config {
+namespace {
+
+using wire::Find;
+using wire::Value;
+
+std::string ReadFile(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw Error(file + ": can't be read");
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+// Reads fields of one object; every complaint names the file and the path of the field.
+class Reader {
+ public:
+  Reader(const Value& v, std::string file, std::string path)
+      : v_(v), file_(std::move(file)), path_(std::move(path)) {}
+
+  [[noreturn]] void Fail(const std::string& field, const std::string& expected) const {
+    throw Error(file_ + ": " + path_ + field + ": expected " + expected);
+  }
+  std::string Name(const char* field) const {
+    const Value* f = Find(v_, field);
+    if (!f || !f->IsString() || f->GetStringLength() == 0) Fail(field, "a non-empty string");
+    return f->GetString();
+  }
+  std::string Address(const char* field) const {
+    const std::string s = Name(field);
+    const size_t colon = s.rfind(':');
+    const int port = colon == std::string::npos ? 0 : std::atoi(s.c_str() + colon + 1);
+    if (colon == 0 || port <= 0 || port > 65535) Fail(field, "ADDRESS:PORT");
+    return s;
+  }
+  double Number(const char* field, double least, double most) const {
+    const Value* f = Find(v_, field);
+    if (!f || !f->IsNumber() || f->GetDouble() < least || f->GetDouble() > most) {
+      std::ostringstream range;
+      range << "a number from " << least << " to " << most;
+      Fail(field, range.str());
+    }
+    return f->GetDouble();
+  }
+  double NumberOr(const char* field, double otherwise) const {
+    return Find(v_, field) ? Number(field, 0, 1e12) : otherwise;
+  }
+  Micros Span(const char* field) const { return Seconds(Number(field, 0.001, 1e6)); }
+  Reader Object(const char* field) const {
+    const Value* f = Find(v_, field);
+    if (!f || !f->IsObject()) Fail(field, "an object");
+    return {*f, file_, path_ + field + "."};
+  }
+  template <typename F>
+  void Each(const char* field, bool required, F f) const {
+    const Value* list = Find(v_, field);
+    if (!list && !required) return;
+    if (!list || !list->IsArray()) Fail(field, "a list");
+    int i = 0;
+    for (const Value& item : list->GetArray()) {
+      const std::string path = path_ + field + "[" + std::to_string(i++) + "].";
+      f(Reader(item, file_, path), item);
+    }
+  }
+
+ private:
+  const Value& v_;
+  std::string file_, path_;
+};
+
+}  // namespace
+
+PlatformSettings ParsePlatform(const std::string& text, const std::string& file) {
+  rapidjson::Document doc;
+  if (!wire::ParseObject(text, &doc)) throw Error(file + ": expected a JSON object");
+  const Reader top(doc, file, "");
+  PlatformSettings s;
+  s.member = top.Name("member");
+  s.site = top.Name("site");
+  s.client_listen = top.Address("client_listen");
+  s.back = top.Address("back");
+  top.Each("members", true, [&](const Reader& r, const Value&) {
+    s.members.push_back({r.Name("member"), r.Address("addr")});
+  });
+  const Reader external = top.Object("external");
+  s.cloud_addr = external.Address("cloud");
+  s.state_addr = external.Address("state");
+  const Reader params = top.Object("params");
+  params.Each("zones", true, [&](const Reader& r, const Value& v) {
+    if (!v.IsString()) r.Fail("", "a string");
+    s.zones.emplace_back(v.GetString());
+  });
+  params.Each("teams", true, [&](const Reader& r, const Value&) {
+    Team t;
+    t.name = r.Name("name");
+    t.guarantee = {wire::Thousandths(r.NumberOr("cpus", 0)),
+                   wire::Thousandths(r.NumberOr("gpus", 0)), 0};
+    t.limit = {wire::Thousandths(r.NumberOr("cpus_max", 0)),
+               wire::Thousandths(r.NumberOr("gpus_max", 0)), 0};
+    s.teams.push_back(std::move(t));
+  });
+  params.Each("objectives", false, [&](const Reader& r, const Value&) {
+    Objective o;
+    o.kind = r.Name("kind");
+    o.lane = r.Name("class");
+    o.within = Seconds(r.NumberOr("within_s", 0));
+    o.share = r.NumberOr("share", 0);
+    s.objectives.push_back(std::move(o));
+  });
+  const Reader workers = params.Object("workers");
+  s.report_every = workers.Span("report_s");
+  s.worker_lease = workers.Span("lease_s");
+  s.gang_wait = workers.Span("gang_wait_s");
+  s.gang_peer = workers.Span("gang_peer_s");
+  s.cancel_within = workers.Span("cancel_s");
+  if (s.cancel_within <= s.worker_lease) {
+    workers.Fail("cancel_s", "more than lease_s, or a cancellation can't be kept");
+  }
+  const Reader state = params.Object("state");
+  s.state_rps = state.Number("rps", 1, 1e9);
+  s.state_write_rps = state.Number("write_rps", 0.1, 1e9);
+  s.state_value_kb = state.Number("value_kb", 0.1, 1e6);
+  s.state_txn_ops = static_cast<int>(state.Number("txn_ops", 3, 1e6));
+  const Reader cloud = params.Object("cloud");
+  s.cloud_rps = cloud.Number("rps", 0.01, 1e9);
+  s.cloud_list_lag = Seconds(cloud.Number("list_lag_s", 0, 1e6));
+  const Reader quota = params.Object("quota");
+  s.quota_mem_mb = quota.Number("mem_mb", 1, 1e9);
+  s.quota_connections = static_cast<int>(quota.Number("max_connections", 16, 1e9));
+  return s;
+}
+
+PlatformSettings LoadPlatform(const std::string& file) {
+  return ParsePlatform(ReadFile(file), file);
+}
+
+Options ParseOptions(const std::string& text, const std::string& file) {
+  Options o;
+  YAML::Node root;
+  try {
+    root = YAML::Load(text);
+  } catch (const YAML::Exception& e) {
+    throw Error(file + ": line " + std::to_string(e.mark.line + 1) + ": expected YAML");
+  }
+  if (root.IsNull()) return o;
+  if (!root.IsMap()) throw Error(file + ": expected a map of settings");
+  struct Field {
+    double least, most;
+    std::function<void(double)> set;
+  };
+  const auto span = [](Micros* m, double least, double most) {
+    return Field{least, most, [m](double v) { *m = Seconds(v); }};
+  };
+  const auto number = [](double* d, double least, double most) {
+    return Field{least, most, [d](double v) { *d = v; }};
+  };
+  const std::map<std::string, std::map<std::string, Field>> sections = {
+      {"dispatch",
+       {{"bucket_width", number(&o.bucket_width, 1.01, 100)},
+        {"rebind_wait_s", span(&o.rebind_wait, 0, 3600)},
+        {"age_limit_s", span(&o.age_limit, 1, 1e6)},
+        {"bind_window",
+         Field{1, 100000, [&o](double v) { o.bind_window = static_cast<int>(v); }}}}},
+      {"failover",
+       {{"lease_s", span(&o.lease, 1, 60)},
+        {"silent_probe_s", span(&o.silent_probe, 0.5, 600)},
+        {"silent_return_s", span(&o.silent_return, 1, 600)}}},
+      {"autoscale",
+       {{"idle_return_s", span(&o.idle_return, 0, 1e5)},
+        {"gang_idle_return_s", span(&o.gang_idle_return, 0, 1e5)},
+        {"drain_target_s", span(&o.drain_target, 1, 1e5)},
+        {"drain_share", number(&o.drain_share, 0.01, 1)},
+        {"boot_patience", number(&o.boot_patience, 1.5, 100)},
+        {"refusal_memory_s", span(&o.refusal_memory, 0, 1e4)}}},
+  };
+  for (const auto& section : root) {
+    const std::string name = section.first.as<std::string>("");
+    auto it = sections.find(name);
+    if (it == sections.end()) throw Error(file + ": " + name + ": expected a known section");
+    if (!section.second.IsMap()) throw Error(file + ": " + name + ": expected a map");
+    for (const auto& entry : section.second) {
+      const std::string key = entry.first.as<std::string>("");
+      auto field = it->second.find(key);
+      if (field == it->second.end()) {
+        throw Error(file + ": " + name + "." + key + ": expected a known setting");
+      }
+      std::ostringstream range;
+      range << "a number from " << field->second.least << " to " << field->second.most;
+      double value = 0;
+      try {
+        value = entry.second.as<double>();
+      } catch (const YAML::Exception&) {
+        throw Error(file + ": " + name + "." + key + ": expected " + range.str());
+      }
+      if (!(value >= field->second.least && value <= field->second.most)) {
+        throw Error(file + ": " + name + "." + key + ": expected " + range.str());
+      }
+      field->second.set(value);
+    }
+  }
+  return o;
+}
+
+Options LoadOptions(const std::string& file) { return ParseOptions(ReadFile(file), file); }
+
+}  // namespace badgershore::config
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,23 @@
+// The platform's settings file (JSON) and the operators' own (YAML), checked.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+
+#include "core/types.h"
+
+namespace badgershore::config {
+
+// What is wrong, in one line: the file, the field and what was expected.
+class Error : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+PlatformSettings ParsePlatform(const std::string& text, const std::string& file);
+PlatformSettings LoadPlatform(const std::string& file);
+
+Options ParseOptions(const std::string& text, const std::string& file);
+Options LoadOptions(const std::string& file);
+
+}  // namespace badgershore::config
--- /dev/null
+++ b/src/core/autoscale.cpp
@@ -0,0 +1,272 @@
+#include "core/autoscale.h"
+
+#include <cmath>
+
+namespace badgershore {
+namespace {
+
+constexpr Micros kRateWindow = Seconds(90);
+constexpr Micros kGangMemory = Seconds(600);
+constexpr Micros kMinimumPaid = Seconds(60);  // a machine given back costs at least this much
+
+struct Room {
+  Machine* machine = nullptr;  // null: asked for, not rented yet
+  const MachineType* type = nullptr;
+  std::string zone;
+  bool spot = false;
+  Resources free;
+};
+
+bool Usable(const Machine& m) {
+  return m.type && m.stage != MachineStage::kReturning && !m.gone_at;
+}
+
+}  // namespace
+
+void Autoscaler::Arrived(const JobSpec& spec, Micros now) {
+  if (spec.shape != Shape::kArray) return;
+  const double dt = (now - rate_at_).ToSeconds();
+  arrival_rate_ *= std::exp(-dt / kRateWindow.ToSeconds());
+  rate_at_ = now;
+  arrival_rate_ += static_cast<double>(spec.need.cpu) * spec.tasks * spec.estimate.ToSeconds() /
+                   kRateWindow.ToSeconds();
+}
+
+void Autoscaler::NoteGang(const JobSpec& spec, Micros now) {
+  gang_needs_[spec.lane] = GangNeed{spec, now};
+}
+
+Resources Autoscaler::Reserve(const MachineType& type, const std::string& zone, bool spot,
+                              Micros now) const {
+  Resources reserve;
+  for (const auto& [lane, need] : gang_needs_) {
+    if (now - need.last > kGangMemory || !Allows(need.spec, type, zone, spot)) continue;
+    const Resources& n = need.spec.need;
+    const bool big = n.cpu * 2 > type.size.cpu || n.mem * 2 > type.size.mem ||
+                     (n.gpu > 0 && n.gpu * 2 > type.size.gpu);
+    if (!big) continue;
+    reserve = {std::max(reserve.cpu, n.cpu), std::max(reserve.gpu, n.gpu),
+               std::max(reserve.mem, n.mem)};
+  }
+  return reserve;
+}
+
+double Autoscaler::Price(const ScaleView& view, const Offer& offer) const {
+  const MachineType& t = view.types->at(offer.type);
+  return offer.spot ? t.spot_price : t.price;
+}
+
+std::vector<Offer> Autoscaler::OffersFor(const ScaleView& view, const JobSpec& spec) const {
+  std::vector<Offer> out;
+  for (const auto& [name, type] : *view.types) {
+    const auto& zones = type.zones.empty() ? *view.zones : type.zones;
+    for (const std::string& zone : zones) {
+      for (bool spot : {false, true}) {
+        if (!Allows(spec, type, zone, spot)) continue;
+        Offer offer{name, zone, spot};
+        auto it = refused_until_.find(offer);
+        if (it != refused_until_.end() && view.now < it->second) continue;
+        out.push_back(offer);
+      }
+    }
+  }
+  return out;
+}
+
+ScalePlan Autoscaler::Decide(const ScaleView& view) {
+  ScalePlan plan;
+  summary_.clear();
+  PlanGangs(view, &plan);
+  PlanArrays(view, &plan);
+  return plan;
+}
+
+void Autoscaler::PlanGangs(const ScaleView& view, ScalePlan* plan) {
+  std::vector<Room> rooms;
+  for (Machine* m : view.machines) {
+    if (!Usable(*m) || m->retiring) continue;
+    Resources used;
+    for (const auto& [key, o] : m->occupants) {
+      if (o.exited()) continue;
+      // What is about to end frees its room before a new machine would be up.
+      if (o.job && o.job->gang() && o.state == RunState::kRunning) {
+        const Micros ran = view.now - o.job->tasks[static_cast<size_t>(o.ref.task)].bound_at;
+        if (ran > o.job->spec.estimate.Scaled(0.8) &&
+            ran < o.job->spec.estimate.Scaled(1.3)) {
+          continue;
+        }
+      }
+      // Small work that fills the space beside gangs does not keep a gang out for long.
+      used = used + o.need;
+    }
+    rooms.push_back({m, m->type, m->zone, m->spot, m->type->size - used});
+  }
+  for (const auto& [offer, count] : view.pending) {
+    const MachineType& t = view.types->at(offer.type);
+    for (int i = 0; i < count; ++i) rooms.push_back({nullptr, &t, offer.zone, offer.spot, t.size});
+  }
+  std::map<Offer, int> wanted;
+  int waiting = 0;
+  for (const Job* job : view.jobs) {
+    if (!job->gang() || job->gang_attempt != 0 || job->finishing) continue;
+    for (int i = 0; i < job->left(); ++i) {
+      ++waiting;
+      bool found = false;
+      for (Room& room : rooms) {
+        if (!Allows(job->spec, *room.type, room.zone, room.spot)) continue;
+        if (!job->spec.need.Fits(room.free)) continue;
+        room.free = room.free - job->spec.need;
+        found = true;
+        break;
+      }
+      if (found) continue;
+      const Offer* best = nullptr;
+      const std::vector<Offer> offers = OffersFor(view, job->spec);
+      for (const Offer& o : offers) {
+        if (!best || Price(view, o) < Price(view, *best)) best = &o;
+      }
+      if (!best) continue;
+      ++wanted[*best];
+      const MachineType& t = view.types->at(best->type);
+      rooms.push_back({nullptr, &t, best->zone, best->spot, t.size - job->spec.need});
+    }
+  }
+  for (const auto& [offer, count] : wanted) plan->rent.push_back({offer, std::min(count, 50)});
+  if (waiting > 0) summary_ += "gang members waiting " + std::to_string(waiting) + "; ";
+}
+
+void Autoscaler::PlanArrays(const ScaleView& view, ScalePlan* plan) {
+  // One measure for all: thousandths of a CPU. `typical` is the need of the job with most left.
+  const Job* typical = nullptr;
+  struct Wish {
+    Micros left;
+    double work;
+  };
+  std::vector<Wish> wishes;
+  double running = 0, waiting_work = 0, widest = 0;
+  for (const Job* job : view.jobs) {
+    if (job->gang() || job->finishing) continue;
+    const JobSpec& s = job->spec;
+    const int open = job->left() - job->placed;
+    if (!typical || job->left() > typical->left()) typical = job;
+    running += static_cast<double>(job->placed) * static_cast<double>(s.need.cpu);
+    if (job->service()) {
+      widest += static_cast<double>(open) * static_cast<double>(s.need.cpu);
+      continue;
+    }
+    const double est = std::max(1.0, s.estimate.ToSeconds());
+    const double work = (open + 0.5 * job->placed) * est * static_cast<double>(s.need.cpu);
+    waiting_work += open * est * static_cast<double>(s.need.cpu);
+    Micros left = options_.drain_target;
+    if (s.due) {
+      left = job->arrived + *s.due - view.now;
+    } else {
+      for (const Objective& o : *view.objectives) {
+        if (o.lane != s.lane || o.kind != "finished") continue;
+        left = job->arrived + o.within.Scaled(options_.drain_share) - view.now;
+      }
+    }
+    left = std::max({left, s.estimate, Seconds(5)});
+    wishes.push_back({left, work});
+    widest += static_cast<double>(job->left()) * static_cast<double>(s.need.cpu);
+  }
+  std::sort(wishes.begin(), wishes.end(),
+            [](const Wish& a, const Wish& b) { return a.left < b.left; });
+  double need = 0, sum = 0;
+  for (const Wish& w : wishes) {
+    sum += w.work;
+    need = std::max(need, sum / w.left.ToSeconds());
+  }
+  need = std::min(need, widest);
+
+  const auto capacity = [&](const MachineType& t, const std::string& zone, bool spot) {
+    if (!typical || !Allows(typical->spec, t, zone, spot)) return 0.0;
+    const Resources room = t.size - Reserve(t, zone, spot, view.now);
+    return static_cast<double>(room.Holds(typical->spec.need) * typical->spec.need.cpu);
+  };
+  double have = 0, up = 0;
+  for (Machine* m : view.machines) {
+    if (!Usable(*m) || m->retiring) continue;
+    const double c = capacity(*m->type, m->zone, m->spot);
+    have += c;
+    if (m->stage == MachineStage::kUp) up += c;
+  }
+  for (const auto& [offer, count] : view.pending) {
+    have += count * capacity(view.types->at(offer.type), offer.zone, offer.spot);
+  }
+  const double decayed =
+      arrival_rate_ * std::exp(-(view.now - rate_at_).ToSeconds() / kRateWindow.ToSeconds());
+  summary_ += "need " + std::to_string(static_cast<int>(need / 1000)) + " have " +
+              std::to_string(static_cast<int>(have / 1000)) + " up " +
+              std::to_string(static_cast<int>(up / 1000)) + " running " +
+              std::to_string(static_cast<int>(running / 1000)) + " rate " +
+              std::to_string(static_cast<int>(decayed / 1000));
+
+  if (typical && need > have) {
+    // Machines on their way back are the cheapest to get.
+    for (Machine* m : view.machines) {
+      if (need <= have) break;
+      if (!m->retiring || !Usable(*m)) continue;
+      plan->unretire.push_back(m);
+      have += capacity(*m->type, m->zone, m->spot);
+    }
+  }
+  if (typical && need > have) {
+    double deficit = need - have;
+    std::map<Offer, int> wanted;
+    const std::vector<Offer> offers = OffersFor(view, typical->spec);
+    int rounds = 0;
+    while (deficit > 0 && ++rounds <= 50) {
+      const Offer* best = nullptr;
+      double best_cost = 0, best_cap = 0;
+      for (const Offer& o : offers) {
+        const MachineType& t = view.types->at(o.type);
+        const double cap = capacity(t, o.zone, o.spot);
+        if (cap <= 0) continue;
+        // What is there may do the work before the new machine is up.
+        if (up > 0 && waiting_work / up < t.boot.ToSeconds()) continue;
+        const double cost = Price(view, o) / std::min(cap, std::max(deficit, 1.0));
+        if (!best || cost < best_cost) {
+          best = &o;
+          best_cost = cost;
+          best_cap = cap;
+        }
+      }
+      if (!best) break;
+      ++wanted[*best];
+      deficit -= best_cap;
+    }
+    for (const auto& [offer, count] : wanted) plan->rent.push_back({offer, count});
+  }
+
+  // Giving back: what has long been idle, and the dearest machine that is not needed.
+  const double floor = std::max({need, running, decayed * 1.1});
+  Machine* dearest = nullptr;
+  double dearest_price = 0;
+  for (Machine* m : view.machines) {
+    if (!Usable(*m) || m->stage != MachineStage::kUp) continue;
+    const Resources reserve = Reserve(*m->type, m->zone, m->spot, view.now);
+    const bool for_gangs = reserve.cpu > 0 || reserve.mem > 0;
+    const Micros held = view.now - m->rented_at;
+    if (m->idle_since.count >= 0) {
+      const Micros limit = m->retiring ? Seconds(0)
+                           : for_gangs ? options_.gang_idle_return
+                                       : options_.idle_return;
+      if (view.now - m->idle_since >= limit && held >= kMinimumPaid) {
+        plan->give_back.push_back(m);
+        continue;
+      }
+    }
+    if (m->retiring || for_gangs || held < kMinimumPaid) continue;
+    const double cap = capacity(*m->type, m->zone, m->spot);
+    if (cap <= 0 || have - cap < floor) continue;
+    const double price = Price(view, {m->type_name, m->zone, m->spot}) / cap;
+    if (!dearest || price > dearest_price) {
+      dearest = m;
+      dearest_price = price;
+    }
+  }
+  if (dearest && view.now - view.reign_began > Seconds(20)) plan->retire.push_back(dearest);
+}
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/autoscale.h
@@ -0,0 +1,75 @@
+// What to rent and what to give back, from the waiting work and the machines there are.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/fleet.h"
+#include "core/jobs.h"
+
+namespace badgershore {
+
+struct Offer {
+  std::string type, zone;
+  bool spot = false;
+  auto operator<=>(const Offer&) const = default;
+};
+struct RentPlan {
+  Offer offer;
+  int count = 0;
+};
+struct ScalePlan {
+  std::vector<RentPlan> rent;
+  std::vector<Machine*> retire;    // gets no new work, goes back when empty
+  std::vector<Machine*> unretire;
+  std::vector<Machine*> give_back;  // idle now
+};
+
+struct ScaleView {
+  Micros now;
+  Micros reign_began;
+  const std::map<std::string, MachineType>* types = nullptr;
+  std::vector<Machine*> machines;
+  std::map<Offer, int> pending;  // asked for, not answered
+  std::vector<const Job*> jobs;
+  const std::vector<std::string>* zones = nullptr;
+  const std::vector<Objective>* objectives = nullptr;
+};
+
+class Autoscaler {
+ public:
+  explicit Autoscaler(const Options& options) : options_(options) {}
+
+  ScalePlan Decide(const ScaleView& view);
+  void Refused(const Offer& offer, Micros now) {
+    refused_until_[offer] = now + options_.refusal_memory;
+  }
+  // New work, for the measure of what arrives.
+  void Arrived(const JobSpec& spec, Micros now);
+
+  // What a machine keeps free for gangs that need most of it (see docs/design.md).
+  Resources Reserve(const MachineType& type, const std::string& zone, bool spot, Micros now) const;
+  void NoteGang(const JobSpec& spec, Micros now);
+  std::string Summary() const { return summary_; }
+
+ private:
+  std::vector<Offer> OffersFor(const ScaleView& view, const JobSpec& spec) const;
+  double Price(const ScaleView& view, const Offer& offer) const;
+  void PlanGangs(const ScaleView& view, ScalePlan* plan);
+  void PlanArrays(const ScaleView& view, ScalePlan* plan);
+
+  const Options& options_;
+  std::map<Offer, Micros> refused_until_;
+  double arrival_rate_ = 0;  // CPU seconds a second, in thousandths, decaying
+  Micros rate_at_;
+  struct GangNeed {
+    JobSpec spec;
+    Micros last;
+  };
+  std::map<std::string, GangNeed> gang_needs_;  // by lane
+  std::string summary_;
+};
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/controller.cpp
@@ -0,0 +1,185 @@
+#include "core/controller.h"
+
+namespace badgershore {
+
+Controller::Controller(PlatformSettings settings, Options options)
+    : settings_(std::move(settings)), options_(options) {
+  int position = 0;
+  for (const auto& m : settings_.members) position += m.name < settings_.member;
+  Election::Callbacks callbacks;
+  callbacks.won = [this](Micros now) {
+    asker_.Info("leading in term " + std::to_string(election_->term()));
+    Leader::Context context;
+    context.asker = &asker_;
+    context.settings = &settings_;
+    context.options = &options_;
+    context.election = election_.get();
+    context.types = &types_;
+    context.types_known = [this] { return TypesKnown(); };
+    leader_ = std::make_unique<Leader>(std::move(context), now, time_of_day_ms_);
+    leader_->Tick(now);
+    note_at_ = now;  // the others hear of it at once
+  };
+  callbacks.lost = [this](Micros) { former_ = std::move(leader_); };
+  callbacks.control = [this](Micros now, const Entry& e) { OnControl(now, e); };
+  election_ = std::make_unique<Election>(&asker_, settings_.member, position, options_.lease,
+                                         std::move(callbacks));
+  Frontdesk::Facts facts;
+  facts.never_runs = [this](const JobSpec& s) { return NeverRuns(s); };
+  facts.knows_types = [this] { return TypesKnown(); };
+  facts.digest = [this](const std::string& job) { return DigestOf(job); };
+  frontdesk_ = std::make_unique<Frontdesk>(&asker_, std::move(facts));
+}
+
+bool Controller::TypesKnown() const {
+  return type_count_ > 0 && static_cast<int>(types_.size()) >= type_count_;
+}
+
+void Controller::OnControl(Micros, const Entry& e) {
+  if (e.erased) return;
+  if (const auto* type = std::get_if<MachineType>(&e.value)) {
+    types_[type->name] = *type;
+  } else if (const auto* count = std::get_if<TypeCountRecord>(&e.value)) {
+    type_count_ = count->count;
+  }
+}
+
+std::string Controller::NeverRuns(const JobSpec& spec) const {
+  const Team* team = settings_.FindTeam(spec.team);
+  if (!team) return "unknown team";
+  const Resources all =
+      spec.shape == Shape::kArray ? spec.need : spec.need.Times(spec.tasks);
+  if ((team->limit.cpu > 0 && all.cpu > team->limit.cpu) ||
+      (team->limit.gpu > 0 && all.gpu > team->limit.gpu)) {
+    return "more than the team's limit";
+  }
+  for (const auto& [name, type] : types_) {
+    const auto& zones = type.zones.empty() ? settings_.zones : type.zones;
+    for (const std::string& zone : zones) {
+      if (Allows(spec, type, zone, false)) return "";
+    }
+  }
+  return "a task fits no allowed machine type";
+}
+
+JobDigest Controller::DigestOf(const std::string& job) const {
+  if (leader_) return leader_->Digest(job);
+  auto it = digests_.find(job);
+  return it == digests_.end() ? JobDigest{job, 0, 0} : it->second;
+}
+
+std::string Controller::LeaderName(Micros now) const {
+  // The state service's word, or that of a peer that knows of a later term.
+  uint64_t term = election_->seen_term();
+  std::string leader = election_->leader();
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard_at > Seconds(3) || peer.note.leader.empty()) continue;
+    if (peer.note.term > term || (peer.note.term == term && leader.empty())) {
+      term = peer.note.term;
+      leader = peer.note.leader;
+    }
+  }
+  return leader == settings_.member ? "" : leader;
+}
+
+bool Controller::Healthy(Micros now) const {
+  if (!election_->synced()) return false;
+  if (now - state_ok_at_ < Seconds(3)) return true;
+  // Where nobody reaches the state service the users are no better off elsewhere; where a peer
+  // does, they are.
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard_at < Seconds(3) && peer.note.state_ok) return false;
+  }
+  return true;
+}
+
+void Controller::Tick(Micros now, int64_t time_of_day_ms) {
+  time_of_day_ms_ = time_of_day_ms;
+  election_->Tick(now);
+  if (leader_) leader_->Tick(now);
+  if (!looking_ && now >= look_at_ && now - state_ok_at_ > Millis(900)) {
+    looking_ = true;
+    look_at_ = now + Millis(900);
+    StateOp op;
+    op.key = keys::kLead;
+    asker_.State(op, [this](Micros, StateReply&) { looking_ = false; });
+  }
+  if (now >= note_at_) {
+    note_at_ = now + Millis(500);
+    PeerNote note;
+    note.from = settings_.member;
+    note.term = election_->seen_term();
+    note.leader = election_->leader();
+    note.state_ok = now - state_ok_at_ < Seconds(2);
+    if (leader_) note.jobs = leader_->Digests();
+    asker_.out.notes.push_back(std::move(note));
+  }
+  former_.reset();
+}
+
+void Controller::OnState(Micros now, RequestId id, StateReply reply) {
+  if (reply.outcome != StateReply::Outcome::kRefused &&
+      reply.outcome != StateReply::Outcome::kUnknown) {
+    state_ok_at_ = now;
+  }
+  asker_.Reply(now, id, reply);
+  former_.reset();
+}
+
+void Controller::OnCloud(Micros now, RequestId id, CloudReply reply) {
+  asker_.Reply(now, id, reply);
+  former_.reset();
+}
+
+void Controller::OnDirect(Micros now, RequestId id, DirectReply reply) {
+  if (reply.report) election_->NoteBaton(reply.report->baton);
+  asker_.Reply(now, id, reply);
+  former_.reset();
+}
+
+void Controller::OnCheckin(Micros now, RequestId token, const Report& report) {
+  election_->NoteBaton(report.baton);
+  CheckinAnswer answer;
+  answer.token = token;
+  if (leader_ && report.baton > election_->term()) {
+    election_->StepDown(now, "a worker has seen a higher baton");
+  }
+  if (leader_) {
+    const auto verdict = leader_->Checkin(now, token, report, &answer.orders);
+    if (verdict == Leader::Verdict::kLater) return;
+    if (verdict == Leader::Verdict::kAnswer) {
+      answer.status = 200;
+      answer.baton = election_->term();
+      asker_.out.checkins.push_back(std::move(answer));
+      return;
+    }
+  }
+  answer.leader = LeaderName(now);
+  answer.status = answer.leader.empty() ? 503 : 421;
+  asker_.out.checkins.push_back(std::move(answer));
+  former_.reset();
+}
+
+void Controller::OnSubmit(Micros, RequestId token, Submission submission) {
+  frontdesk_->Submit(token, std::move(submission));
+}
+
+void Controller::OnQuery(Micros, RequestId token, const std::string& job) {
+  frontdesk_->Query(token, job);
+}
+
+void Controller::OnWithdraw(Micros, RequestId token, const std::string& job) {
+  frontdesk_->Withdraw(token, job);
+}
+
+void Controller::OnPeer(Micros now, const PeerNote& note) {
+  peers_[note.from] = Peer{now, note};
+  if (note.leader == note.from && note.term >= digest_term_) {
+    digest_term_ = note.term;
+    digests_.clear();
+    for (const JobDigest& d : note.jobs) digests_[d.job] = d;
+  }
+  peers_[note.from].note.jobs.clear();
+}
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/controller.h
@@ -0,0 +1,64 @@
+// One controller: election, the users' desk, and, while it leads, the reign.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/asker.h"
+#include "core/election.h"
+#include "core/frontdesk.h"
+#include "core/leader.h"
+
+namespace badgershore {
+
+class Controller {
+ public:
+  Controller(PlatformSettings settings, Options options);
+
+  // Inputs. `now` never goes back.
+  void Tick(Micros now, int64_t time_of_day_ms);
+  void OnState(Micros now, RequestId id, StateReply reply);
+  void OnCloud(Micros now, RequestId id, CloudReply reply);
+  void OnDirect(Micros now, RequestId id, DirectReply reply);
+  void OnCheckin(Micros now, RequestId token, const Report& report);
+  void OnSubmit(Micros now, RequestId token, Submission submission);
+  void OnQuery(Micros now, RequestId token, const std::string& job);
+  void OnWithdraw(Micros now, RequestId token, const std::string& job);
+  void OnPeer(Micros now, const PeerNote& note);
+
+  bool Healthy(Micros now) const;
+  bool leads() const { return election_->leads(); }
+  Effects Take() { return std::exchange(asker_.out, Effects{}); }
+  const Leader* leader() const { return leader_.get(); }
+
+ private:
+  void OnControl(Micros now, const Entry& e);
+  bool TypesKnown() const;
+  std::string NeverRuns(const JobSpec& spec) const;
+  JobDigest DigestOf(const std::string& job) const;
+  std::string LeaderName(Micros now) const;
+
+  PlatformSettings settings_;
+  Options options_;
+  Asker asker_;
+  std::map<std::string, MachineType> types_;
+  int type_count_ = -1;
+  std::unique_ptr<Election> election_;
+  std::unique_ptr<Frontdesk> frontdesk_;
+  std::unique_ptr<Leader> leader_;
+  std::unique_ptr<Leader> former_;  // freed when no call of its is on the stack
+  int64_t time_of_day_ms_ = 0;
+  Micros state_ok_at_{-1000000000};
+  Micros look_at_, note_at_;
+  bool looking_ = false;
+  struct Peer {
+    Micros heard_at;
+    PeerNote note;
+  };
+  std::map<std::string, Peer> peers_;
+  std::unordered_map<std::string, JobDigest> digests_;
+  uint64_t digest_term_ = 0;
+};
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/dispatch.cpp
@@ -0,0 +1,52 @@
+#include "core/dispatch.h"
+
+#include <cmath>
+
+namespace badgershore {
+
+int BucketOf(const JobSpec& spec, double width) {
+  if (spec.shape == Shape::kService) return kBuckets - 1;
+  const double s = std::max(spec.estimate.ToSeconds(), 0.001);
+  const int k = static_cast<int>(std::floor(std::log(s) / std::log(width))) + 16;
+  return std::clamp(k, 0, kBuckets - 2);
+}
+
+double WorkOn(const JobSpec& spec, const MachineType& type) {
+  const auto share = [](int64_t need, int64_t size) {
+    return size > 0 ? static_cast<double>(need) / static_cast<double>(size) : 0.0;
+  };
+  const double largest = std::max({share(spec.need.cpu, type.size.cpu),
+                                   share(spec.need.gpu, type.size.gpu),
+                                   share(spec.need.mem, type.size.mem)});
+  return std::max(spec.estimate.ToSeconds(), 0.1) * largest;
+}
+
+Machine* LeastReceived(const Job& job, const std::vector<Machine*>& able) {
+  Machine* best = nullptr;
+  double least = 0;
+  bool image = false;
+  const auto bucket = static_cast<size_t>(job.bucket);
+  for (Machine* m : able) {
+    const double work = m->work[bucket] + WorkOn(job.spec, *m->type);
+    const bool has = m->HasImage(job.spec.image);
+    const double slack = 1e-9 * (1 + least);
+    if (!best || work < least - slack || (work < least + slack && has && !image)) {
+      best = m;
+      least = work;
+      image = has;
+    }
+  }
+  return best;
+}
+
+void LevelCounters(Machine* machine, const std::vector<Machine*>& peers) {
+  machine->work.assign(kBuckets, 0.0);
+  if (peers.empty()) return;
+  for (size_t b = 0; b < kBuckets; ++b) {
+    double sum = 0;
+    for (const Machine* p : peers) sum += p->work[b];
+    machine->work[b] = sum / static_cast<double>(peers.size());
+  }
+}
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/dispatch.h
@@ -0,0 +1,29 @@
+// The paper's dispatch: size buckets of one ratio, and for each bucket the machine that has
+// received the least work of it.
+#pragma once
+
+#include <vector>
+
+#include "core/fleet.h"
+#include "core/jobs.h"
+
+namespace badgershore {
+
+constexpr int kBuckets = 64;
+
+// Buckets are [width^k, width^(k+1)) seconds; services count in the top one.
+int BucketOf(const JobSpec& spec, double width);
+
+// A task's work on a machine: its estimate times the share of the machine that it takes (the
+// larger of its shares of CPUs, accelerators and memory), so that machines of different sizes
+// are level when each is equally filled.
+double WorkOn(const JobSpec& spec, const MachineType& type);
+
+// The machine that would have received least work of the job's bucket, this task included.
+// Among equals, one that has the job's image. Null when there is none to choose from.
+Machine* LeastReceived(const Job& job, const std::vector<Machine*>& able);
+
+// A new machine begins level with its peers, or it would be flooded.
+void LevelCounters(Machine* machine, const std::vector<Machine*>& peers);
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/election.cpp
@@ -0,0 +1,123 @@
+#include "core/election.h"
+
+namespace badgershore {
+
+Election::Election(Asker* asker, std::string member, int position, Micros lease,
+                   Callbacks callbacks)
+    : asker_(asker),
+      member_(std::move(member)),
+      position_(position),
+      lease_(lease),
+      callbacks_(std::move(callbacks)),
+      mirror_(
+          asker, keys::kControl, [this](Micros now, const Entry& e) { OnControl(now, e); },
+          [](Micros) {}) {}
+
+void Election::OnControl(Micros now, const Entry& e) {
+  if (e.key == keys::kLead) {
+    // The watch may still deliver what came before our own win.
+    if (e.stamp < lead_revision_) return;
+    lead_revision_ = e.stamp;
+    // Gone, or somebody else's: our lease is over, whatever our clock says.
+    if (leads() && e.stamp > term_stamp_) StepDown(now, "the lead key has changed");
+    lead_stamp_ = e.erased ? 0 : e.stamp;
+    leader_.clear();
+    const auto* lead = std::get_if<LeadRecord>(&e.value);
+    if (lead && !e.erased) leader_ = lead->leader;
+    if (e.erased) stand_at_ = std::max(stand_at_, now + Millis(120).Scaled(position_));
+  } else if (e.key == keys::kTerm) {
+    if (const auto* term = std::get_if<TermRecord>(&e.value); term && !e.erased) {
+      seen_term_ = term->term;
+      seen_term_stamp_ = e.stamp;
+    }
+  } else {
+    callbacks_.control(now, e);
+  }
+}
+
+void Election::Tick(Micros now) {
+  mirror_.Tick(now);
+  if (role_ == Role::kFollower && mirror_.synced() && lead_stamp_ == 0 && now >= stand_at_) {
+    Stand(now);
+  }
+  if (leads() && !renewing_ && now >= renew_at_) Renew(now);
+}
+
+void Election::Stand(Micros now) {
+  role_ = Role::kCandidate;
+  stand_at_ = now + Millis(400) + Millis(150).Scaled(position_);
+  StateOp grant;
+  grant.kind = StateOp::Kind::kGrant;
+  grant.span = lease_;
+  asker_->State(grant, [this, sent = now](Micros, StateReply& r) {
+    if (!r.ok()) {
+      role_ = Role::kFollower;
+      return;
+    }
+    const uint64_t lease = r.lease;
+    const uint64_t term = std::max(seen_term_, seen_baton_) + 1;
+    StateOp commit;
+    commit.kind = StateOp::Kind::kCommit;
+    commit.guards = {{keys::kLead, 0}, {keys::kTerm, seen_term_stamp_}};
+    commit.changes = {{keys::kLead, false, LeadRecord{member_, term}, lease},
+                      {keys::kTerm, false, TermRecord{term, member_}, 0}};
+    asker_->State(commit, [this, sent, lease, term](Micros now, StateReply& r) {
+      if (!r.ok()) {
+        // With no answer the key may be ours or yet become ours: end the lease, so that a late
+        // commit can't hold the place for nobody.
+        role_ = Role::kFollower;
+        StateOp drop;
+        drop.kind = StateOp::Kind::kRelease;
+        drop.lease = lease;
+        asker_->State(drop, [](Micros, StateReply&) {});
+        return;
+      }
+      role_ = Role::kLeader;
+      term_ = seen_term_ = term;
+      term_stamp_ = seen_term_stamp_ = r.epoch;
+      leader_ = member_;
+      lead_stamp_ = lead_revision_ = r.epoch;
+      lease_id_ = lease;
+      lease_until_ = UsableLease(sent);
+      confirmed_at_ = sent;
+      renew_at_ = now;
+      renewing_ = false;
+      callbacks_.won(now);
+    });
+  });
+}
+
+void Election::Renew(Micros now) {
+  renewing_ = true;
+  StateOp touch;
+  touch.kind = StateOp::Kind::kTouch;
+  touch.lease = lease_id_;
+  asker_->State(touch, [this, sent = now, term = term_](Micros now, StateReply& r) {
+    if (!leads() || term != term_) return;
+    renewing_ = false;
+    if (r.ok()) {
+      lease_until_ = UsableLease(sent);
+      confirmed_at_ = sent;
+      renew_at_ = sent + lease_.Scaled(0.2);
+    } else if (r.outcome == StateReply::Outcome::kMissing) {
+      StepDown(now, "the lease has ended");
+    } else {
+      renew_at_ = now + Millis(150);
+    }
+  });
+}
+
+void Election::StepDown(Micros now, const std::string& why) {
+  if (!leads()) return;
+  asker_->Info("stepping down from term " + std::to_string(term_) + ": " + why);
+  role_ = Role::kFollower;
+  if (leader_ == member_) leader_.clear();
+  stand_at_ = now + Millis(500);
+  StateOp drop;
+  drop.kind = StateOp::Kind::kRelease;
+  drop.lease = lease_id_;
+  asker_->State(drop, [](Micros, StateReply&) {});
+  callbacks_.lost(now);
+}
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/election.h
@@ -0,0 +1,65 @@
+// Who leads: a leased key and a counted term. No part of this knows what leading means.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "core/asker.h"
+#include "core/mirror.h"
+
+namespace badgershore {
+
+// Clocks of two hosts run apart by at most this share (PROTOCOL); taken twice for good measure.
+constexpr double kClockDrift = 0.001;
+
+class Election {
+ public:
+  struct Callbacks {
+    std::function<void(Micros)> won;
+    std::function<void(Micros)> lost;
+    std::function<void(Micros, const Entry&)> control;  // other entries under ctl/
+  };
+  Election(Asker* asker, std::string member, int position, Micros lease, Callbacks callbacks);
+
+  void Tick(Micros now);
+  void StepDown(Micros now, const std::string& why);
+
+  bool leads() const { return role_ == Role::kLeader; }
+  // The lease surely holds at `now`, counted from when its last renewal was sent.
+  bool MayStart(Micros now) const { return leads() && now < lease_until_; }
+  // When the state service last confirmed the lease, counted from when that was asked.
+  Micros confirmed_at() const { return confirmed_at_; }
+  uint64_t term() const { return term_; }
+  uint64_t term_stamp() const { return term_stamp_; }
+  const std::string& leader() const { return leader_; }
+  uint64_t seen_term() const { return seen_term_; }
+  // A baton seen at a worker: the next term must be above it.
+  void NoteBaton(uint64_t baton) { seen_baton_ = std::max(seen_baton_, baton); }
+  bool synced() const { return mirror_.synced(); }
+
+ private:
+  enum class Role { kFollower, kCandidate, kLeader };
+  void Stand(Micros now);
+  void Renew(Micros now);
+  void OnControl(Micros now, const Entry& e);
+  Micros UsableLease(Micros sent) const {
+    return sent + lease_.Scaled(1 - kClockDrift) - Millis(50);
+  }
+
+  Asker* asker_;
+  std::string member_;
+  int position_;
+  Micros lease_;
+  Callbacks callbacks_;
+  Mirror mirror_;
+  Role role_ = Role::kFollower;
+  uint64_t term_ = 0, term_stamp_ = 0, lease_id_ = 0;
+  Micros lease_until_, confirmed_at_, renew_at_;
+  bool renewing_ = false;
+  // As the state service shows them.
+  std::string leader_;
+  uint64_t lead_stamp_ = 0, lead_revision_ = 0, seen_term_ = 0, seen_term_stamp_ = 0, seen_baton_ = 0;
+  Micros stand_at_;
+};
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/fleet.h
@@ -0,0 +1,113 @@
+// Machines, their sessions, and what is or may be on each.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/effects.h"
+#include "core/types.h"
+
+namespace badgershore {
+
+struct Job;
+
+// A task on a machine, or one that may be there.
+struct Occupant {
+  TaskRef ref;
+  uint64_t attempt = 0;
+  Job* job = nullptr;  // null once the job is over
+  std::string team;
+  Resources need;
+  RunState state = RunState::kSent;
+  ExitCause cause = ExitCause::kNone;
+  bool unsent = false;  // reserved; its start goes out with the machine's next check-in
+  bool seen = false;    // a report has listed it
+  uint64_t sent_session = 0, sent_seq = 0;  // of the report whose answer carried the start
+  bool halt = false;
+  Micros grace;
+  bool exited() const { return state == RunState::kExited; }
+};
+
+struct QueueEntry {
+  Job* job = nullptr;
+  std::deque<std::pair<int, Micros>> tasks;  // (task, bound_at); valid while the task agrees
+};
+struct QueueKey {
+  Rank rank;
+  Micros estimate;
+  std::string job;
+  auto operator<=>(const QueueKey&) const = default;
+};
+
+enum class MachineStage {
+  kBooting,    // rented, has not reported
+  kUp,         // reports
+  kReturning,  // the cloud has been asked to take it back
+};
+
+struct Machine {
+  std::string id, endpoint, type_name, zone;
+  bool spot = false;
+  const MachineType* type = nullptr;
+  MachineStage stage = MachineStage::kBooting;
+
+  // Durable record. No start before it is written.
+  bool recorded = false;
+  bool recording = false;
+
+  // False from a takeover until the machine is known to obey this term only.
+  bool resolved = true;
+  // Its lease, and with it all its tasks, surely ends by then if nobody answers it any more.
+  Micros alive_until;
+
+  uint64_t session = 0, seq = 0;
+  Micros heard_at{-1};  // last valid report
+  Micros rented_at;
+  Micros probe_at;      // next direct call, if it is silent or unresolved
+  bool probing = false;
+  bool listed = false;
+  Micros missing_since{-1};
+  std::optional<Micros> gone_at;  // spot notice, as a time
+
+  std::map<std::pair<TaskRef, uint64_t>, Occupant> occupants;
+  std::map<QueueKey, QueueEntry> queue;
+  std::vector<double> work;  // received so far, by bucket
+  bool retiring = false;
+  Micros idle_since{-1};
+  Micros hold_off;  // no starts before (after a refusal)
+
+  std::vector<RequestId> held_checkins;  // answered once the record is written
+  Micros held_since;
+
+  std::set<std::string> failed_jobs;
+  int failures_in_row = 0;
+  std::deque<std::string> images;  // most recent last
+
+  Resources Used() const {
+    Resources used;
+    for (const auto& [key, o] : occupants)
+      if (!o.exited()) used = used + o.need;
+    return used;
+  }
+  int Busy() const {
+    int n = 0;
+    for (const auto& [key, o] : occupants) n += !o.exited();
+    return n;
+  }
+  bool HasImage(const std::string& image) const {
+    return std::find(images.begin(), images.end(), image) != images.end();
+  }
+  void NoteImage(const std::string& image) {
+    images.erase(std::remove(images.begin(), images.end(), image), images.end());
+    images.push_back(image);
+    if (images.size() > 8) images.pop_front();
+  }
+};
+
+// The job's fields that bind it to kinds of machines.
+bool Allows(const JobSpec& spec, const MachineType& type, const std::string& zone, bool spot);
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/frontdesk.cpp
@@ -0,0 +1,125 @@
+#include "core/frontdesk.h"
+
+namespace badgershore {
+namespace {
+
+StateOp GetOp(std::string key) {
+  StateOp op;
+  op.kind = StateOp::Kind::kGet;
+  op.key = std::move(key);
+  return op;
+}
+
+}  // namespace
+
+void Frontdesk::Answer(RequestId token, int status, const std::string& id, Phase phase, int done,
+                       int running) {
+  asker_->out.answers.push_back({token, status, id, phase, done, running, "", 0});
+}
+
+void Frontdesk::Refuse(RequestId token, int status, const std::string& id, std::string reason) {
+  UserAnswer a;
+  a.token = token;
+  a.status = status;
+  a.job = id;
+  a.reason = std::move(reason);
+  if (status == 503) a.retry_after_s = 1;
+  asker_->out.answers.push_back(std::move(a));
+}
+
+void Frontdesk::Remember(const std::string& id, const EndRecord& end) {
+  if (!finals_.emplace(id, end).second) return;
+  finals_order_.push_back(id);
+  if (finals_order_.size() > kFinals) {
+    finals_.erase(finals_order_.front());
+    finals_order_.pop_front();
+  }
+}
+
+bool Frontdesk::AnswerFinal(RequestId token, const std::string& id) {
+  auto it = finals_.find(id);
+  if (it == finals_.end()) return false;
+  const EndRecord& end = it->second;
+  Answer(token, 200, id, end.withdrawn ? Phase::kWithdrawn : Phase::kDone,
+         end.withdrawn ? 0 : end.tasks);
+  return true;
+}
+
+void Frontdesk::AnswerLive(RequestId token, const std::string& id) {
+  const JobDigest d = facts_.digest(id);
+  Answer(token, 200, id, d.running > 0 ? Phase::kRunning : Phase::kPending, d.done, d.running);
+}
+
+void Frontdesk::Read(RequestId token, const std::string& id, int missing_status,
+                     std::string reason, OnRead live) {
+  if (AnswerFinal(token, id)) return;
+  asker_->State(GetOp(keys::kJob + id), [=, this](Micros, StateReply& job) {
+    if (job.ok()) return live(job);
+    if (job.outcome != StateReply::Outcome::kMissing) {
+      return Refuse(token, 503, id, "the state service can't be read");
+    }
+    // In this order: a job's record goes in the same change that writes its end.
+    asker_->State(GetOp(keys::kEnd + id), [=, this](Micros, StateReply& end) {
+      if (end.outcome == StateReply::Outcome::kMissing) {
+        return Refuse(token, missing_status, id, reason);
+      }
+      const EndRecord* record =
+          end.ok() && !end.entries.empty() ? std::get_if<EndRecord>(&end.entries[0].value) : nullptr;
+      if (!record) return Refuse(token, 503, id, "the state service can't be read");
+      Remember(id, *record);
+      AnswerFinal(token, id);
+    });
+  });
+}
+
+void Frontdesk::Submit(RequestId token, Submission submission) {
+  const std::string id = submission.id;
+  if (id.empty()) return Refuse(token, 400, id, submission.reason);
+  const auto live = [=, this](const StateReply&) { AnswerLive(token, id); };
+  // A known id is known whatever its description would be answered today.
+  if (!submission.spec) return Read(token, id, 400, submission.reason, live);
+  if (!facts_.knows_types()) {
+    return Read(token, id, 503, "the machine types are not known yet", live);
+  }
+  const std::string never = facts_.never_runs(*submission.spec);
+  if (!never.empty()) return Read(token, id, 422, never, live);
+  if (AnswerFinal(token, id)) return;
+  StateOp op;
+  op.kind = StateOp::Kind::kCommit;
+  op.guards = {{keys::kJob + id, 0}, {keys::kEnd + id, 0}};
+  op.changes = {{keys::kJob + id, false, *submission.spec, 0}};
+  asker_->State(op, [=, this](Micros, StateReply& r) {
+    if (r.ok()) return Answer(token, 201, id, Phase::kPending);
+    if (r.outcome == StateReply::Outcome::kConflict) {
+      return Read(token, id, 503, "the job's record is changing", live);
+    }
+    // Not recorded, or perhaps recorded: the user asks again and learns which.
+    Refuse(token, 503, id, "the job can't be recorded now");
+  });
+}
+
+void Frontdesk::Query(RequestId token, const std::string& id) {
+  Read(token, id, 404, "no such job", [=, this](const StateReply&) { AnswerLive(token, id); });
+}
+
+void Frontdesk::Withdraw(RequestId token, const std::string& id, int rounds) {
+  Read(token, id, 404, "no such job", [=, this](const StateReply& job) {
+    StateOp op;
+    op.kind = StateOp::Kind::kCommit;
+    op.guards = {{keys::kJob + id, job.entries[0].stamp}, {keys::kEnd + id, 0}};
+    const EndRecord end{true, 0};
+    op.changes = {{keys::kEnd + id, false, end, 0}, {keys::kJob + id, true, {}, 0}};
+    asker_->State(op, [=, this](Micros, StateReply& r) {
+      if (r.ok()) {
+        Remember(id, end);
+        AnswerFinal(token, id);
+      } else if (r.outcome == StateReply::Outcome::kConflict && rounds > 1) {
+        Withdraw(token, id, rounds - 1);  // it ended at the same moment: read which way
+      } else {
+        Refuse(token, 503, id, "the cancellation can't be recorded now");
+      }
+    });
+  });
+}
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/frontdesk.h
@@ -0,0 +1,54 @@
+// The users' requests, on any node: every answer rests on a durable record or a fresh read.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <string>
+#include <unordered_map>
+
+#include "core/asker.h"
+
+namespace badgershore {
+
+struct Submission {
+  std::string id;                // empty: not even an id could be read
+  std::optional<JobSpec> spec;   // absent: malformed
+  std::string reason;
+};
+
+class Frontdesk {
+ public:
+  struct Facts {
+    // Empty: can run. Otherwise why it never can.
+    std::function<std::string(const JobSpec&)> never_runs;
+    std::function<bool()> knows_types;
+    // Display counts of a live job.
+    std::function<JobDigest(const std::string&)> digest;
+  };
+  Frontdesk(Asker* asker, Facts facts) : asker_(asker), facts_(std::move(facts)) {}
+
+  void Submit(RequestId token, Submission submission);
+  void Query(RequestId token, const std::string& id);
+  void Withdraw(RequestId token, const std::string& id, int rounds = 4);
+
+ private:
+  using OnRead = std::function<void(const StateReply& job)>;
+  // Reads the job; answers by itself when it is over, unknown (`missing`) or can't be read.
+  void Read(RequestId token, const std::string& id, int missing_status, std::string reason,
+            OnRead live);
+  void Answer(RequestId token, int status, const std::string& id, Phase phase, int done = 0,
+              int running = 0);
+  void Refuse(RequestId token, int status, const std::string& id, std::string reason);
+  bool AnswerFinal(RequestId token, const std::string& id);
+  void Remember(const std::string& id, const EndRecord& end);
+  void AnswerLive(RequestId token, const std::string& id);
+
+  Asker* asker_;
+  Facts facts_;
+  // Ends never change, so they may be kept; the oldest fall out.
+  static constexpr size_t kFinals = 4096;
+  std::unordered_map<std::string, EndRecord> finals_;
+  std::list<std::string> finals_order_;
+};
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/jobs.cpp
@@ -0,0 +1,46 @@
+#include "core/jobs.h"
+
+namespace badgershore {
+
+std::string EncodeProgress(const Job& job, int chunk, int chunk_tasks) {
+  static const char kHex[] = "0123456789abcdef";
+  const int from = chunk * chunk_tasks;
+  const int to = std::min(job.spec.tasks, from + chunk_tasks);
+  std::string out;
+  out.reserve(static_cast<size_t>(chunk_tasks / 4 + 1));
+  for (int i = from; i < to; i += 4) {
+    int digit = 0;
+    for (int b = 0; b < 4 && i + b < to; ++b) {
+      if (job.tasks[static_cast<size_t>(i + b)].stage == TaskStage::kDone) digit |= 1 << b;
+    }
+    out.push_back(kHex[digit]);
+  }
+  return out;
+}
+
+void DecodeProgress(const std::string& bits, int chunk, int chunk_tasks, int tasks,
+                    const std::function<void(int)>& each) {
+  for (size_t i = 0; i < bits.size(); ++i) {
+    const char c = bits[i];
+    const int digit = c >= 'a' ? c - 'a' + 10 : c - '0';
+    for (int b = 0; b < 4; ++b) {
+      const int task = chunk * chunk_tasks + static_cast<int>(i) * 4 + b;
+      if ((digit >> b & 1) && task < tasks) each(task);
+    }
+  }
+}
+
+std::string ProgressKey(const std::string& job, int chunk) {
+  return keys::kProgress + job + "/" + std::to_string(chunk);
+}
+
+bool ParseProgressKey(const std::string& key, std::string* job, int* chunk) {
+  if (key.compare(0, keys::kProgress.size(), keys::kProgress) != 0) return false;
+  const size_t slash = key.rfind('/');
+  if (slash == std::string::npos || slash <= keys::kProgress.size()) return false;
+  *job = key.substr(keys::kProgress.size(), slash - keys::kProgress.size());
+  *chunk = std::atoi(key.c_str() + slash + 1);
+  return *chunk >= 0;
+}
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/jobs.h
@@ -0,0 +1,78 @@
+// Jobs that are not over, and where each of their tasks stands.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+
+namespace badgershore {
+
+struct Machine;
+
+enum class TaskStage : uint8_t {
+  kWaiting,  // not given to any machine
+  kQueued,   // in a machine's queue, not sent
+  kPlaced,   // on a machine, or perhaps on it
+  kDone,
+};
+
+struct TaskState {
+  TaskStage stage = TaskStage::kWaiting;
+  bool saved = false;  // its completion is durable
+  uint8_t failures = 0;
+  Machine* machine = nullptr;
+  Micros bound_at;  // when it was queued, then when it was placed
+  uint64_t attempt = 0;
+};
+
+struct Job {
+  JobSpec spec;
+  uint64_t stamp = 0;   // version of its durable record
+  Micros arrived;       // on the leader's steady clock, from the time of day at submission
+  int bucket = 0;
+  std::vector<TaskState> tasks;
+  int done = 0;
+  int placed = 0;
+  int running = 0;
+  std::map<std::string, int> zone_count;  // tasks on machines, or perhaps there
+  bool finishing = false;  // all done, the end is being written
+
+  std::deque<int> waiting;                             // may hold tasks that have left kWaiting
+  std::deque<std::pair<int, Micros>> bound;            // (task, bound_at), oldest first
+  std::multimap<Micros, int> delayed;                  // after failures
+  int queued = 0;
+
+  uint64_t gang_attempt = 0;  // 0: not placed
+  bool gang_ran = false;      // some member was seen running in this attempt
+  bool gang_stopping = false;
+  Micros not_before;  // gangs: no new attempt before
+
+  struct Chunk {
+    uint64_t stamp = 0;
+    bool dirty = false;
+    Micros dirty_since;
+  };
+  std::vector<Chunk> chunks;
+  int failures = 0;
+  std::vector<std::string> failed_on;  // distinct machines, a few
+
+  bool gang() const { return spec.shape == Shape::kGang; }
+  bool service() const { return spec.shape == Shape::kService; }
+  int left() const { return spec.tasks - done; }
+};
+
+// Which finished tasks a chunk holds, as hex digits.
+std::string EncodeProgress(const Job& job, int chunk, int chunk_tasks);
+// Calls `each` for every finished task in the chunk.
+void DecodeProgress(const std::string& bits, int chunk, int chunk_tasks, int tasks,
+                    const std::function<void(int)>& each);
+std::string ProgressKey(const std::string& job, int chunk);
+// Splits "prog/JOB/CHUNK"; false where the key is of another form.
+bool ParseProgressKey(const std::string& key, std::string* job, int* chunk);
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/leader.h
@@ -0,0 +1,171 @@
+// One reign: everything that the leading controller knows and decides.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/asker.h"
+#include "core/autoscale.h"
+#include "core/dispatch.h"
+#include "core/election.h"
+#include "core/fleet.h"
+#include "core/jobs.h"
+#include "core/mirror.h"
+
+namespace badgershore {
+
+class Leader {
+ public:
+  struct Context {
+    Asker* asker;
+    const PlatformSettings* settings;
+    const Options* options;
+    Election* election;
+    std::map<std::string, MachineType>* types;  // complete once `types_known`
+    std::function<bool()> types_known;
+  };
+  Leader(Context context, Micros now, int64_t time_of_day_ms);
+  ~Leader();
+
+  void Tick(Micros now);
+  // What to say to a report. kLater: the answer comes among the effects, by its token.
+  enum class Verdict { kAnswer, kLater, kCannot };
+  Verdict Checkin(Micros now, RequestId token, const Report& report, std::vector<Order>* orders);
+  JobDigest Digest(const std::string& job) const;
+  std::vector<JobDigest> Digests() const;
+  bool ready() const { return ready_; }
+  Micros AnswerUntil() const;
+
+ private:
+  struct PendingRent {
+    Offer offer;
+    int count = 0;
+    int tries = 0;
+    bool asking = false;
+    Micros retry_at;
+  };
+
+  // Loading and following durable records.
+  void OnJobEntry(Micros now, const Entry& e);
+  void LoadPrefix(const std::string& prefix, const std::string& after,
+                  std::function<void(Micros, const Entry&)> each,
+                  std::function<void(Micros)> done);
+  void Loaded(Micros now);
+  void AddJob(Micros now, const JobSpec& spec, uint64_t stamp);
+  void EndJob(Micros now, const std::string& id);
+
+  // Machines.
+  Machine* FindMachine(const std::string& id);
+  Machine* Adopt(Micros now, const std::string& id, const std::string& endpoint,
+                 const std::string& type, const std::string& zone, bool spot);
+  bool Absorb(Micros now, Machine* m, const Report& r, bool checkin);
+  void Exited(Micros now, Machine* m, Occupant* o, ExitCause cause);
+  void Gone(Micros now, Machine* m, Occupant* o);  // proved not to be there any more
+  void DropAll(Micros now, Machine* m);
+  void Remove(Micros now, const std::string& id);
+  void Probe(Micros now, Machine* m);
+  void GiveBack(Micros now, Machine* m, const std::string& why);
+  void Resolve(Micros now, Machine* m);
+  void HaltNow(Micros now, Machine* m);
+  void WatchMachines(Micros now);
+  void Unbind(Machine* m);
+  bool Ready(const Machine& m, Micros now) const;  // may be given work
+  bool Held(const Job& job) const;
+
+  // Tasks.
+  void MarkDone(Micros now, Job* job, int task);
+  void TaskBack(Micros now, Job* job, int task, Micros pause);
+  bool LimitAllows(const Job& job, int more) const;
+  Resources RoomFor(const Machine& m, const Job& job, const Resources& used, Micros now) const;
+  void BindWaiting(Micros now);
+  void Bind(Micros now, Job* job, int task, Machine* m);
+  void PlaceGangs(Micros now);
+  bool PlaceGang(Micros now, Job* job);
+  void HaltGang(Micros now, Job* job, Micros grace);
+  void GangTick(Micros now, Job* job);
+  Occupant* Place(Micros now, Machine* m, Job* job, int task, uint64_t attempt);
+  void OrdersFor(Micros now, Machine* m, std::vector<Order>* orders);
+  void AnswerHeld(Micros now, Machine* m);
+  bool ZoneAllows(const Job& job, const std::string& zone) const;
+  void Vacate(Occupant* o, const Machine& m);
+  void CloseJob(Job* job);
+  void StartFrom(Micros now, Machine* m, std::vector<Order>* orders);
+  bool TakeQueued(Micros now, Machine* m, Resources* used, bool aged_only,
+                  std::vector<Order>* orders);
+  bool TakeRebound(Micros now, Machine* m, Resources* used, std::vector<Order>* orders);
+  void StartOne(Micros now, Machine* m, Job* job, int task, Resources* used,
+                std::vector<Order>* orders);
+  uint64_t NextAttempt() { return (election()->term() << 24) + ++attempts_; }
+
+  // Durable writes.
+  void Write(Micros now);
+  struct Batch;
+  void Written(Micros now, const std::shared_ptr<Batch>& batch, StateReply& r);
+
+  // The cloud.
+  void CloudTick(Micros now);
+  void ListMachines(Micros now, const std::string& after);
+  void Listed(Micros now, const ListedMachine& l);
+  void AskTypes(Micros now);
+  void Rent(Micros now, const Offer& offer, int count);
+  void SendRent(Micros now, const std::string& name);
+  void Scale(Micros now);
+  void SendReturns(Micros now);
+
+  const Options& options() const { return *context_.options; }
+  const PlatformSettings& settings() const { return *context_.settings; }
+  Election* election() const { return context_.election; }
+  Asker* asker() const { return context_.asker; }
+  // Wraps a continuation so that it does nothing after the reign.
+  template <typename F>
+  auto Guarded(F f) {
+    return [alive = alive_, f = std::move(f)](Micros now, auto& r) {
+      if (*alive) f(now, r);
+    };
+  }
+
+  Context context_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  Micros began_;
+  int64_t began_ms_;
+  bool ready_ = false;
+  bool jobs_loaded_ = false;
+  int loading_ = 2;
+  std::unique_ptr<Mirror> jobs_mirror_;
+  std::map<std::string, std::unique_ptr<Job>> jobs_;
+  std::map<std::string, std::unique_ptr<Machine>> machines_;
+  std::map<std::string, Micros> tombstones_;  // returned, may still be heard of
+  std::vector<Machine*> unresolved_;
+  std::map<std::string, std::map<int, std::pair<std::string, uint64_t>>> early_progress_;
+  uint64_t attempts_ = 0;
+  int chunk_tasks_ = 8192;
+
+  // Writes.
+  bool writing_ = false;
+  Micros write_at_;
+  double write_tokens_ = 0;
+  Micros tokens_at_;
+  std::vector<std::string> finish_queue_;
+  std::vector<std::string> record_queue_;       // machines to note before their first start
+  std::vector<std::string> erase_queue_;        // keys of machines and progress that are over
+  bool types_dirty_ = false;
+  std::map<std::string, MachineType> new_types_;
+
+  // Cloud.
+  Autoscaler scaler_;
+  bool listing_ = false, asking_types_ = false;
+  Micros list_at_, types_at_, scale_at_, log_at_;
+  uint64_t rents_ = 0;
+  std::map<std::string, PendingRent> pending_;
+  std::unordered_set<std::string> list_seen_;
+  std::vector<std::string> return_queue_;
+  bool returning_ = false;
+  Micros return_at_;
+};
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/mirror.h
@@ -0,0 +1,115 @@
+// Keeps a copy of one key prefix: reads it whole, then follows its changes; reads it again when
+// the state service no longer has the changes in between.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "core/asker.h"
+
+namespace badgershore {
+
+class Mirror {
+ public:
+  // Called for each entry that is new, changed or gone.
+  using OnEntry = std::function<void(Micros, const Entry&)>;
+  using OnSynced = std::function<void(Micros)>;
+
+  Mirror(Asker* asker, std::string prefix, OnEntry on_entry, OnSynced on_synced)
+      : asker_(asker),
+        prefix_(std::move(prefix)),
+        on_entry_(std::move(on_entry)),
+        on_synced_(std::move(on_synced)),
+        alive_(std::make_shared<bool>(true)) {}
+  ~Mirror() { *alive_ = false; }
+
+  void Tick(Micros now) {
+    if (!busy_ && now >= retry_at_) Next();
+  }
+  bool synced() const { return synced_; }
+
+ private:
+  void Next() {
+    busy_ = true;
+    StateOp op;
+    op.key = prefix_;
+    if (!synced_) {
+      op.kind = StateOp::Kind::kList;
+      op.after = after_;
+    } else {
+      op.kind = StateOp::Kind::kWatch;
+      op.revision = epoch_;
+      op.span = Seconds(10);
+    }
+    asker_->State(op, [this, alive = alive_](Micros now, StateReply& r) {
+      if (*alive) Got(now, r);
+    });
+  }
+
+  void Got(Micros now, StateReply& r) {
+    busy_ = false;
+    if (r.outcome == StateReply::Outcome::kCompacted) {
+      synced_ = false;
+      after_.clear();
+      return Next();
+    }
+    if (!r.ok()) {
+      retry_at_ = now + Millis(300);
+      return;
+    }
+    if (synced_) {
+      epoch_ = std::max(epoch_, r.epoch);
+      for (const Entry& e : r.entries) Apply(now, e);
+      // Some changes come in a burst; a little pause lets one watch carry them all.
+      retry_at_ = now + Millis(r.entries.empty() ? 0 : 40);
+      return Tick(now);
+    }
+    // The watch begins at the first page's epoch, so nothing between the pages is missed.
+    if (after_.empty()) {
+      first_epoch_ = r.epoch;
+      seen_.clear();
+    }
+    for (const Entry& e : r.entries) {
+      seen_.insert(e.key);
+      Apply(now, e);
+      after_ = e.key;
+    }
+    if (r.more) return Next();
+    for (auto it = known_.begin(); it != known_.end();) {
+      const std::string key = *it;
+      ++it;
+      if (!seen_.count(key)) Apply(now, Entry{key, {}, r.epoch, true});
+    }
+    seen_.clear();
+    after_.clear();
+    synced_ = true;
+    epoch_ = first_epoch_;
+    Next();
+    on_synced_(now);
+  }
+
+  void Apply(Micros now, const Entry& e) {
+    if (e.erased) {
+      known_.erase(e.key);
+    } else {
+      known_.insert(e.key);
+    }
+    on_entry_(now, e);
+  }
+
+  Asker* asker_;
+  std::string prefix_;
+  OnEntry on_entry_;
+  OnSynced on_synced_;
+  std::shared_ptr<bool> alive_;
+  bool busy_ = false;
+  bool synced_ = false;
+  Micros retry_at_;
+  std::string after_;
+  uint64_t epoch_ = 0, first_epoch_ = 0;
+  std::set<std::string> known_, seen_;
+};
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,179 @@
+// What the core talks about: jobs, machines, teams, durable records.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/time.h"
+
+namespace badgershore {
+
+// Thousandths of a CPU and of an accelerator, and MiB-like thousandths of a GB.
+struct Resources {
+  int64_t cpu = 0;
+  int64_t gpu = 0;
+  int64_t mem = 0;
+
+  bool Fits(const Resources& room) const {
+    return cpu <= room.cpu && gpu <= room.gpu && mem <= room.mem;
+  }
+  Resources operator+(const Resources& o) const { return {cpu + o.cpu, gpu + o.gpu, mem + o.mem}; }
+  Resources operator-(const Resources& o) const { return {cpu - o.cpu, gpu - o.gpu, mem - o.mem}; }
+  Resources Times(int64_t n) const { return {cpu * n, gpu * n, mem * n}; }
+  bool operator==(const Resources&) const = default;
+  // How many tasks of size `each` go into this room.
+  int64_t Holds(const Resources& each) const {
+    int64_t n = INT32_MAX;
+    if (each.cpu > 0) n = std::min(n, cpu / each.cpu);
+    if (each.gpu > 0) n = std::min(n, gpu / each.gpu);
+    if (each.mem > 0) n = std::min(n, mem / each.mem);
+    return std::max<int64_t>(n, 0);
+  }
+};
+
+enum class Shape { kArray, kGang, kService };
+enum class Rank { kProduction, kHigh, kNormal, kIdle };
+
+struct JobSpec {
+  std::string id;
+  std::string lane;
+  std::string team;
+  Shape shape = Shape::kArray;
+  Rank rank = Rank::kNormal;
+  int tasks = 1;
+  Resources need;
+  std::string image;
+  double image_gb = 0;
+  std::optional<std::vector<std::string>> types;
+  std::optional<std::string> zone;
+  bool same_zone = false;
+  bool spread = false;
+  bool spot_ok = false;
+  Micros estimate;
+  Micros checkpoint_every;
+  Micros save_time;
+  std::optional<Micros> due;
+  int64_t submitted_ms = 0;  // time of day, for ages across restarts
+  bool operator==(const JobSpec&) const = default;
+};
+
+struct MachineType {
+  std::string name;
+  Resources size;
+  double image_cache_gb = 0;
+  double fetch_gb_per_s = 0;
+  double price = 0;
+  double spot_price = 0;
+  Micros boot;
+  std::vector<std::string> zones;
+  bool operator==(const MachineType&) const = default;
+};
+
+struct Team {
+  std::string name;
+  Resources guarantee;  // cpu and gpu only; 0: none
+  Resources limit;      // 0: no limit
+};
+
+struct Objective {
+  std::string kind;
+  std::string lane;
+  Micros within;
+  double share = 0;
+};
+
+// Durable records, by key prefix.
+struct TermRecord {
+  uint64_t term = 0;
+  std::string leader;
+};
+struct LeadRecord {
+  std::string leader;
+  uint64_t term = 0;
+};
+struct EndRecord {
+  bool withdrawn = false;
+  int tasks = 0;
+};
+struct ProgressRecord {
+  std::string bits;  // one hex digit for four tasks
+};
+struct MachineRecord {
+  std::string id;
+  std::string endpoint;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+};
+struct TypeCountRecord {
+  int count = 0;
+};
+using Record = std::variant<std::monostate, TermRecord, LeadRecord, JobSpec, EndRecord,
+                            ProgressRecord, MachineRecord, MachineType, TypeCountRecord>;
+
+namespace keys {
+inline const std::string kControl = "ctl/";
+inline const std::string kLead = "ctl/lead";
+inline const std::string kTerm = "ctl/term";
+inline const std::string kTypes = "ctl/types";
+inline const std::string kType = "ctl/type/";
+inline const std::string kJob = "job/";
+inline const std::string kEnd = "end/";
+inline const std::string kProgress = "prog/";
+inline const std::string kFleet = "fleet/";
+}  // namespace keys
+
+// Settings handed over by the platform.
+struct PlatformSettings {
+  std::string member;
+  std::string site;
+  std::string client_listen;
+  std::string back;
+  struct Member {
+    std::string name;
+    std::string addr;
+  };
+  std::vector<Member> members;
+  std::string cloud_addr;
+  std::string state_addr;
+  std::vector<std::string> zones;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  Micros report_every, worker_lease, gang_wait, gang_peer, cancel_within;
+  double state_rps = 100, state_write_rps = 10, state_value_kb = 8;
+  int state_txn_ops = 8;
+  double cloud_rps = 5;
+  Micros cloud_list_lag;
+  double quota_mem_mb = 64;
+  int quota_connections = 500;
+
+  const Team* FindTeam(const std::string& name) const {
+    for (const Team& t : teams)
+      if (t.name == name) return &t;
+    return nullptr;
+  }
+};
+
+// The operators' own settings (YAML), with the defaults that hold without a file.
+struct Options {
+  double bucket_width = 2.0;
+  Micros rebind_wait = Seconds(10);
+  Micros age_limit = Seconds(120);
+  Micros lease = Millis(2500);
+  Micros silent_probe = Seconds(5);
+  Micros silent_return = Seconds(9);
+  Micros idle_return = Seconds(25);
+  Micros gang_idle_return = Seconds(60);
+  Micros drain_target = Seconds(30);
+  double drain_share = 0.35;
+  double boot_patience = 4.0;
+  Micros refusal_memory = Seconds(20);
+  int bind_window = 1024;
+};
+
+}  // namespace badgershore
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,54 @@
+#include "http/client.h"
+
+namespace badgershore::http {
+
+io::Task<ClientAnswer> Client::Request(std::string method, std::string target, std::string body,
+                                       Micros timeout) {
+  const Micros deadline = io::Loop::Now() + timeout;
+  const std::string wire = FormatRequest(method, target, addr_, body, keep_ == 0);
+  ClientAnswer answer;
+  // A kept connection may have been closed under us. Reading twice does no harm, so a GET is
+  // tried once more on a new one; a change is not, since it may have been carried out.
+  for (int round = 0; round < 2; ++round) {
+    io::Socket socket;
+    bool reused = false;
+    while (!idle_.empty() && round == 0) {
+      Idle idle = std::move(idle_.back());
+      idle_.pop_back();
+      if (io::Loop::Now() - idle.since > Seconds(20)) continue;
+      socket = std::move(idle.socket);
+      reused = true;
+      break;
+    }
+    if (!reused) {
+      const Micros connect_by = std::min(deadline, io::Loop::Now() + Millis(1500));
+      socket = co_await io::Socket::Connect(loop_, addr_, connect_by);
+      if (!socket.open()) co_return answer;
+    }
+    answer.outcome = ClientAnswer::Outcome::kUnknown;
+    const bool sent = co_await socket.WriteAll(wire, deadline);
+    Parser parser(Parser::Kind::kResponse, limits_);
+    bool any = false;
+    while (sent && !parser.done() && !parser.bad()) {
+      char buffer[8192];
+      const ssize_t n = co_await socket.Read(buffer, sizeof(buffer), deadline);
+      if (n <= 0) break;
+      any = true;
+      parser.Feed(std::string_view(buffer, static_cast<size_t>(n)));
+    }
+    if (parser.done()) {
+      Message message = parser.Take();
+      answer.outcome = ClientAnswer::Outcome::kAnswered;
+      answer.status = message.status;
+      answer.body = std::move(message.body);
+      if (!message.close && idle_.size() < keep_) {
+        idle_.push_back(Idle{std::move(socket), io::Loop::Now()});
+      }
+      co_return answer;
+    }
+    if (!reused || any || method != "GET" || io::Loop::Now() >= deadline) break;
+  }
+  co_return answer;
+}
+
+}  // namespace badgershore::http
--- /dev/null
+++ b/src/http/message.h
@@ -0,0 +1,69 @@
+// HTTP/1.1 messages and an incremental parser with bounded memory.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace badgershore::http {
+
+struct Limits {
+  size_t line = 8 * 1024;
+  size_t headers = 16 * 1024;
+  size_t body = 64 * 1024;
+};
+
+struct Message {
+  // Request line or status line.
+  std::string method;
+  std::string target;
+  int status = 0;
+  // The few headers that mean something here.
+  size_t content_length = 0;
+  bool has_length = false;
+  bool chunked = false;
+  bool close = false;
+  std::string body;
+};
+
+// Feeds on bytes as they come, in pieces of any size.
+class Parser {
+ public:
+  enum class Kind { kRequest, kResponse };
+  enum class State { kStartLine, kHeaders, kBody, kChunkSize, kChunkData, kChunkEnd, kTrailer, kDone, kBad };
+
+  explicit Parser(Kind kind, Limits limits = {}) : kind_(kind), limits_(limits) {}
+
+  // Takes what it needs of `data`; returns how many bytes it took.
+  size_t Feed(std::string_view data);
+  bool done() const { return state_ == State::kDone; }
+  bool bad() const { return state_ == State::kBad; }
+  bool too_large() const { return too_large_; }
+  bool idle() const { return state_ == State::kStartLine && line_.empty(); }
+  Message Take();  // the finished message; the parser is ready for the next one
+
+ private:
+  void Line(std::string_view line);
+  void StartLine(std::string_view line);
+  void Header(std::string_view line);
+  void HeadersEnd();
+  void Bad(bool too_large = false) {
+    state_ = State::kBad;
+    too_large_ = too_large;
+  }
+
+  Kind kind_;
+  Limits limits_;
+  State state_ = State::kStartLine;
+  bool too_large_ = false;
+  std::string line_;
+  size_t header_bytes_ = 0;
+  size_t remaining_ = 0;
+  Message message_;
+};
+
+std::string FormatRequest(std::string_view method, std::string_view target, std::string_view host,
+                          std::string_view body, bool close);
+std::string FormatResponse(int status, std::string_view body, int retry_after_s, bool close);
+
+}  // namespace badgershore::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,67 @@
+#include "http/server.h"
+
+namespace badgershore::http {
+namespace {
+constexpr Micros kIdle = Seconds(75);     // a kept connection without a request
+constexpr Micros kRequest = Seconds(10);  // from a request's first byte to its last
+constexpr Micros kWrite = Seconds(10);
+}  // namespace
+
+bool Server::Start(const std::string& addr, std::string* error) {
+  listener_ = io::Socket::Listen(loop_, addr, error);
+  if (!listener_.open()) return false;
+  io::Spawn(AcceptLoop());
+  return true;
+}
+
+io::Task<void> Server::AcceptLoop() {
+  for (;;) {
+    io::Socket socket = co_await listener_.Accept();
+    // Past the limit the peer is told at once, by a close, to go elsewhere.
+    if (connections_ >= max_connections_) continue;
+    io::Spawn(Serve(std::move(socket)));
+  }
+}
+
+io::Task<void> Server::Serve(io::Socket socket) {
+  ++connections_;
+  Parser parser(Parser::Kind::kRequest);
+  std::string pending;
+  bool open = true;
+  while (open) {
+    Micros deadline = io::Loop::Now() + (pending.empty() ? kIdle : kRequest);
+    bool started = !pending.empty();
+    while (!parser.done() && !parser.bad()) {
+      if (!pending.empty()) {
+        const size_t used = parser.Feed(pending);
+        pending.erase(0, used);
+        continue;
+      }
+      char buffer[4096];
+      const ssize_t n = co_await socket.Read(buffer, sizeof(buffer), deadline);
+      if (n <= 0) {
+        open = false;
+        break;
+      }
+      if (!started) deadline = io::Loop::Now() + kRequest;
+      started = true;
+      pending.append(buffer, static_cast<size_t>(n));
+    }
+    if (!open) break;
+    if (parser.bad()) {
+      const std::string out =
+          FormatResponse(400, "{\"error\":\"bad request\"}", 0, true);
+      co_await socket.WriteAll(out, io::Loop::Now() + kWrite);
+      break;
+    }
+    Message request = parser.Take();
+    const bool close = request.close;
+    ServerAnswer answer = co_await handler_(std::move(request));
+    const std::string out = FormatResponse(answer.status, answer.body, answer.retry_after_s, close);
+    open = co_await socket.WriteAll(out, io::Loop::Now() + kWrite);
+    if (close) open = false;
+  }
+  --connections_;
+}
+
+}  // namespace badgershore::http
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,37 @@
+// A server that hands each request to a handler coroutine.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "http/message.h"
+#include "io/loop.h"
+
+namespace badgershore::http {
+
+struct ServerAnswer {
+  int status = 503;
+  std::string body = "{}";
+  int retry_after_s = 0;
+};
+
+class Server {
+ public:
+  using Handler = std::function<io::Task<ServerAnswer>(Message)>;
+  Server(io::Loop* loop, Handler handler, size_t max_connections)
+      : loop_(loop), handler_(std::move(handler)), max_connections_(max_connections) {}
+
+  bool Start(const std::string& addr, std::string* error);
+
+ private:
+  io::Task<void> AcceptLoop();
+  io::Task<void> Serve(io::Socket socket);
+
+  io::Loop* loop_;
+  Handler handler_;
+  size_t max_connections_;
+  size_t connections_ = 0;
+  io::Socket listener_;
+};
+
+}  // namespace badgershore::http
--- /dev/null
+++ b/src/io/loop.cpp
@@ -0,0 +1,217 @@
+#include "io/loop.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+namespace badgershore::io {
+namespace {
+
+bool ParseAddr(const std::string& addr, sockaddr_in* out) {
+  const size_t colon = addr.rfind(':');
+  if (colon == std::string::npos) return false;
+  std::memset(out, 0, sizeof(*out));
+  out->sin_family = AF_INET;
+  const int port = std::atoi(addr.c_str() + colon + 1);
+  if (port <= 0 || port > 65535) return false;
+  out->sin_port = htons(static_cast<uint16_t>(port));
+  return inet_pton(AF_INET, addr.substr(0, colon).c_str(), &out->sin_addr) == 1;
+}
+
+void SetNoDelay(int fd) {
+  int one = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+}
+
+}  // namespace
+
+Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+  if (epoll_ < 0) throw std::runtime_error("epoll_create1 failed");
+}
+
+Loop::~Loop() { ::close(epoll_); }
+
+Micros Loop::Now() {
+  timespec ts{};
+  clock_gettime(CLOCK_MONOTONIC, &ts);
+  return {static_cast<int64_t>(ts.tv_sec) * 1000000 + ts.tv_nsec / 1000};
+}
+
+int64_t Loop::TimeOfDayMs() {
+  timespec ts{};
+  clock_gettime(CLOCK_REALTIME, &ts);
+  return static_cast<int64_t>(ts.tv_sec) * 1000 + ts.tv_nsec / 1000000;
+}
+
+void Loop::Arm(Waiter* w, Micros deadline) {
+  w->timer = timers_.emplace(deadline, w);
+  w->has_timer = true;
+}
+
+void Loop::Wake(Waiter* w) {
+  if (w->queued) return;
+  w->queued = true;
+  if (w->has_timer) timers_.erase(w->timer);
+  w->has_timer = false;
+  ready_.push_back(w);
+}
+
+void Loop::Add(int fd, FdState* state) {
+  epoll_event ev{};
+  ev.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  ev.data.ptr = state;
+  epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &ev);
+}
+
+void Loop::RunTimers() {
+  const Micros now = Now();
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    Waiter* w = timers_.begin()->second;
+    timers_.erase(timers_.begin());
+    w->has_timer = false;
+    w->timed_out = true;
+    w->queued = true;
+    ready_.push_back(w);
+  }
+}
+
+void Loop::RunReady() {
+  while (!ready_.empty()) {
+    Waiter* w = ready_.front();
+    ready_.pop_front();
+    w->handle.resume();
+  }
+}
+
+void Loop::Run() {
+  epoll_event events[64];
+  RunReady();
+  while (running_) {
+    int wait_ms = 1000;
+    if (!timers_.empty()) {
+      const int64_t us = (timers_.begin()->first - Now()).count;
+      wait_ms = us <= 0 ? 0 : static_cast<int>(std::min<int64_t>(1000, (us + 999) / 1000));
+    }
+    const int n = epoll_wait(epoll_, events, 64, wait_ms);
+    for (int i = 0; i < n; ++i) {
+      auto* state = static_cast<FdState*>(events[i].data.ptr);
+      if (Waiter* w = std::exchange(state->waiter, nullptr)) Wake(w);
+    }
+    RunTimers();
+    RunReady();
+  }
+}
+
+Socket::Socket(Loop* loop, int fd) : loop_(loop), fd_(fd), state_(new Loop::FdState) {
+  loop_->Add(fd_, state_);
+}
+
+Socket& Socket::operator=(Socket&& o) noexcept {
+  if (this != &o) {
+    Close();
+    loop_ = o.loop_;
+    fd_ = std::exchange(o.fd_, -1);
+    state_ = std::exchange(o.state_, nullptr);
+  }
+  return *this;
+}
+
+void Socket::Close() {
+  if (fd_ >= 0) ::close(fd_);
+  fd_ = -1;
+  delete std::exchange(state_, nullptr);
+}
+
+Task<Socket> Socket::Connect(Loop* loop, std::string addr, Micros deadline) {
+  sockaddr_in sa{};
+  if (!ParseAddr(addr, &sa)) co_return Socket();
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) co_return Socket();
+  SetNoDelay(fd);
+  Socket socket(loop, fd);
+  const int rc = ::connect(fd, reinterpret_cast<sockaddr*>(&sa), sizeof(sa));
+  if (rc != 0 && errno != EINPROGRESS) co_return Socket();
+  while (rc != 0) {
+    const bool ready = co_await socket.Ready(deadline);
+    if (!ready) co_return Socket();
+    int err = 0;
+    socklen_t len = sizeof(err);
+    getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len);
+    if (err != 0) co_return Socket();
+    sockaddr_in peer{};
+    socklen_t peer_len = sizeof(peer);
+    if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &peer_len) == 0) break;
+  }
+  co_return socket;
+}
+
+Socket Socket::Listen(Loop* loop, const std::string& addr, std::string* error) {
+  sockaddr_in sa{};
+  if (!ParseAddr(addr, &sa)) {
+    *error = "'" + addr + "' is not an IPv4 address with a port";
+    return Socket();
+  }
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int one = 1;
+  if (fd >= 0) setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+  if (fd < 0 || ::bind(fd, reinterpret_cast<sockaddr*>(&sa), sizeof(sa)) != 0 ||
+      ::listen(fd, 256) != 0) {
+    *error = "can't listen on " + addr + ": " + std::strerror(errno);
+    if (fd >= 0) ::close(fd);
+    return Socket();
+  }
+  return Socket(loop, fd);
+}
+
+Task<Socket> Socket::Accept() {
+  for (;;) {
+    const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      SetNoDelay(fd);
+      co_return Socket(loop_, fd);
+    }
+    if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      co_await Ready(kNever);
+    } else {
+      // Out of sockets or the like: the edge will not come again by itself.
+      co_await loop_->Sleep(Millis(50));
+    }
+  }
+}
+
+Task<ssize_t> Socket::Read(char* data, size_t size, Micros deadline) {
+  for (;;) {
+    const ssize_t n = ::recv(fd_, data, size, 0);
+    if (n >= 0) co_return n;
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK) co_return -1;
+    const bool ready = co_await Ready(deadline);
+    if (!ready) co_return -1;
+  }
+}
+
+Task<bool> Socket::WriteAll(std::string_view data, Micros deadline) {
+  while (!data.empty()) {
+    const ssize_t n = ::send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+    if (n > 0) {
+      data.remove_prefix(static_cast<size_t>(n));
+      continue;
+    }
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK) co_return false;
+    const bool ready = co_await Ready(deadline);
+    if (!ready) co_return false;
+  }
+  co_return true;
+}
+
+}  // namespace badgershore::io
--- /dev/null
+++ b/src/peer/link.cpp
@@ -0,0 +1,82 @@
+#include "peer/link.h"
+
+#include "peer/messages.h"
+
+namespace badgershore::peer {
+namespace {
+constexpr int kMostReaders = 32;
+}  // namespace
+
+Link::Link(io::Loop* loop, const PlatformSettings& settings, std::function<void(PeerNote)> on_note)
+    : loop_(loop), listen_(settings.back), on_note_(std::move(on_note)) {
+  for (const auto& m : settings.members) {
+    if (m.name == settings.member) continue;
+    peers_.push_back(std::make_unique<Outgoing>());
+    peers_.back()->addr = m.addr;
+  }
+}
+
+bool Link::Start(std::string* error) {
+  listener_ = io::Socket::Listen(loop_, listen_, error);
+  if (!listener_.open()) return false;
+  io::Spawn(Accept());
+  return true;
+}
+
+void Link::Send(const PeerNote& note) {
+  const std::string frame = Encode(note);
+  if (frame.size() > kMostBytes) return;
+  for (auto& peer : peers_) {
+    peer->frame = frame;
+    if (!peer->busy) io::Spawn(Deliver(peer.get()));
+  }
+}
+
+io::Task<void> Link::Deliver(Outgoing* peer) {
+  peer->busy = true;
+  while (!peer->frame.empty()) {
+    const std::string frame = std::exchange(peer->frame, {});
+    if (!peer->socket.open()) {
+      peer->socket = co_await io::Socket::Connect(loop_, peer->addr, io::Loop::Now() + Seconds(1));
+    }
+    if (!peer->socket.open()) break;
+    const bool sent = co_await peer->socket.WriteAll(frame, io::Loop::Now() + Seconds(2));
+    if (!sent) peer->socket.Close();
+  }
+  peer->busy = false;
+}
+
+io::Task<void> Link::Accept() {
+  for (;;) {
+    io::Socket socket = co_await listener_.Accept();
+    if (readers_ >= kMostReaders) continue;
+    io::Spawn(Read(std::move(socket)));
+  }
+}
+
+io::Task<void> Link::Read(io::Socket socket) {
+  ++readers_;
+  std::string pending;
+  for (;;) {
+    char buffer[4096];
+    // Notes come twice a second; a link without any is dead.
+    const ssize_t n = co_await socket.Read(buffer, sizeof(buffer), io::Loop::Now() + Seconds(20));
+    if (n <= 0) break;
+    pending.append(buffer, static_cast<size_t>(n));
+    bool bad = false;
+    while (pending.size() >= 4) {
+      const auto size = BodySize(pending);
+      if (!size) {
+        bad = true;
+        break;
+      }
+      if (pending.size() < 4 + *size) break;
+      if (auto note = Decode(std::string_view(pending).substr(4, *size))) on_note_(std::move(*note));
+      pending.erase(0, 4 + *size);
+    }
+    if (bad) break;
+  }
+  --readers_;
+}
+
+}  // namespace badgershore::peer
--- /dev/null
+++ b/src/wire/messages.cpp
@@ -0,0 +1,423 @@
+#include "wire/messages.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include "wire/json.h"
+#include "wire/records.h"
+
+namespace badgershore::wire {
+namespace {
+
+constexpr size_t kNameLimit = 200;
+constexpr double kSpanLimit = 1e9;
+
+const char* PhaseName(Phase p) {
+  switch (p) {
+    case Phase::kPending: return "pending";
+    case Phase::kRunning: return "running";
+    case Phase::kDone: return "done";
+    case Phase::kWithdrawn: return "withdrawn";
+  }
+  return "pending";
+}
+
+// Reads fields and keeps the first thing that is wrong.
+class Checker {
+ public:
+  explicit Checker(const Value& object) : object_(object) {}
+  const std::string& problem() const { return problem_; }
+
+  std::string Name(const char* field) {
+    const Value* v = Find(object_, field);
+    if (!v || !v->IsString() || v->GetStringLength() == 0 || v->GetStringLength() > kNameLimit) {
+      return Fail(field, "a string of 1 to 200 bytes"), std::string();
+    }
+    return {v->GetString(), v->GetStringLength()};
+  }
+  double Amount(const char* field, double least, double most) {
+    const Value* v = Find(object_, field);
+    if (!v || !v->IsNumber() || !(v->GetDouble() >= least) || !(v->GetDouble() <= most)) {
+      return Fail(field, "a number in its range"), 0;
+    }
+    return v->GetDouble();
+  }
+  int Whole(const char* field, int least, int most) {
+    const Value* v = Find(object_, field);
+    const double d = v && v->IsNumber() ? v->GetDouble() : least - 1.0;
+    if (d != std::floor(d) || d < least || d > most) {
+      return Fail(field, "a whole number in its range"), least;
+    }
+    return static_cast<int>(d);
+  }
+  bool Truth(const char* field) {
+    const Value* v = Find(object_, field);
+    if (!v || !v->IsBool()) return Fail(field, "true or false"), false;
+    return v->GetBool();
+  }
+  template <typename E>
+  E OneOf(const char* field, std::initializer_list<std::pair<const char*, E>> choices) {
+    const std::string s = Text(object_, field);
+    for (const auto& [name, value] : choices) {
+      if (s == name) return value;
+    }
+    Fail(field, "one of its values");
+    return choices.begin()->second;
+  }
+  void Fail(const char* field, const char* expected) {
+    if (problem_.empty()) problem_ = std::string(field) + ": expected " + expected;
+  }
+
+ private:
+  const Value& object_;
+  std::string problem_;
+};
+
+JobSpec ReadJob(const Value& v, Checker* c) {
+  JobSpec s;
+  s.lane = c->Name("lane");
+  s.team = c->Name("owner");
+  s.shape = c->OneOf<Shape>(
+      "shape", {{"array", Shape::kArray}, {"gang", Shape::kGang}, {"daemon", Shape::kService}});
+  s.rank = c->OneOf<Rank>("rank", {{"production", Rank::kProduction},
+                                   {"high", Rank::kHigh},
+                                   {"normal", Rank::kNormal},
+                                   {"idle", Rank::kIdle}});
+  s.tasks = c->Whole("legs", 1, 100000);
+  // Rounded up: what a task takes is never less than it says.
+  s.need.cpu = static_cast<int64_t>(std::ceil(c->Amount("cpus", 0, 1e6) * 1000 - 1e-6));
+  if (Find(v, "accelerators")) {
+    s.need.gpu = static_cast<int64_t>(std::ceil(c->Amount("accelerators", 0, 1e6) * 1000 - 1e-6));
+  }
+  s.need.mem = static_cast<int64_t>(std::ceil(c->Amount("memGb", 0, 1e7) * 1000 - 1e-6));
+  s.image = c->Name("kit");
+  s.image_gb = c->Amount("imageGb", 0, 1e6);
+  if (const Value* builds = Find(v, "builds")) {
+    s.types.emplace();
+    if (!builds->IsArray()) {
+      c->Fail("builds", "a list of names, or null");
+    } else {
+      for (const Value& b : builds->GetArray()) {
+        if (!b.IsString() || b.GetStringLength() > kNameLimit) {
+          c->Fail("builds", "a list of names, or null");
+          break;
+        }
+        s.types->emplace_back(b.GetString(), b.GetStringLength());
+      }
+    }
+  }
+  if (Find(v, "yard")) s.zone = c->Name("yard");
+  if (Find(v, "samePlace")) s.same_zone = c->Truth("samePlace");
+  if (Find(v, "spread")) s.spread = c->Truth("spread");
+  if (Find(v, "loaners")) s.spot_ok = c->Truth("loaners");
+  s.estimate = Seconds(c->Amount("expectS", 0, kSpanLimit));
+  if (Find(v, "stashEveryS")) s.checkpoint_every = Seconds(c->Amount("stashEveryS", 0, kSpanLimit));
+  if (Find(v, "stashS")) s.save_time = Seconds(c->Amount("stashS", 0, kSpanLimit));
+  if (Find(v, "dueS")) s.due = Seconds(c->Amount("dueS", 0, kSpanLimit));
+  return s;
+}
+
+bool ParseTask(const std::string& name, TaskRef* out) {
+  const size_t slash = name.rfind('/');
+  if (slash == std::string::npos || slash + 1 >= name.size() || name.size() - slash > 8) {
+    return false;
+  }
+  out->job = name.substr(0, slash);
+  out->task = 0;
+  for (size_t i = slash + 1; i < name.size(); ++i) {
+    if (!std::isdigit(static_cast<unsigned char>(name[i]))) return false;
+    out->task = out->task * 10 + (name[i] - '0');
+  }
+  return true;
+}
+
+RunState ParseRunState(const std::string& s) {
+  if (s == "fetching") return RunState::kFetching;
+  if (s == "gathering") return RunState::kGathering;
+  if (s == "flushing") return RunState::kFlushing;
+  if (s == "exited") return RunState::kExited;
+  return RunState::kRunning;
+}
+
+ExitCause ParseCause(const std::string& s) {
+  if (s == "done") return ExitCause::kDone;
+  if (s == "halted") return ExitCause::kHalted;
+  if (s == "peers") return ExitCause::kPeers;
+  if (s == "alone") return ExitCause::kAlone;
+  if (s == "full") return ExitCause::kFull;
+  if (s == "busy") return ExitCause::kBusy;
+  if (s == "unknown") return ExitCause::kUnknown;
+  return ExitCause::kError;
+}
+
+void PutOrders(Writer* w, const std::vector<Order>& orders) {
+  w->Key("orders").BeginList();
+  for (const Order& o : orders) {
+    w->Begin();
+    w->Put("verb", o.verb == Order::Verb::kStart  ? "start"
+                   : o.verb == Order::Verb::kHalt ? "halt"
+                                                  : "clear");
+    w->Put("leg", o.ref.job + "/" + std::to_string(o.ref.task)).Put("try", o.attempt);
+    if (o.verb == Order::Verb::kHalt) w->Put("windDownS", o.grace.ToSeconds());
+    w->End();
+  }
+  w->EndList();
+}
+
+Entry ReadEntry(const Value& v) {
+  Entry e;
+  e.key = Text(v, "path");
+  e.stamp = Count(v, "stamp");
+  if (const Value* value = Find(v, "value")) e.value = ReadRecord(e.key, *value);
+  return e;
+}
+
+const Value* List(const Value& v, const char* name) {
+  const Value* list = Find(v, name);
+  return list && list->IsArray() ? list : nullptr;
+}
+
+}  // namespace
+
+bool ValidJobId(std::string_view id) {
+  return id.size() > 4 && id.size() <= 100 && id.substr(0, 4) == "job-" &&
+         std::all_of(id.begin() + 4, id.end(),
+                     [](char c) { return std::isdigit(static_cast<unsigned char>(c)); });
+}
+
+Submission ParseSubmission(std::string_view body, int64_t time_of_day_ms) {
+  Submission out;
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) {
+    out.reason = "expected a JSON object";
+    return out;
+  }
+  const std::string id = Text(doc, "nameId");
+  if (!ValidJobId(id)) {
+    out.reason = "nameId: expected job- and a number";
+    return out;
+  }
+  out.id = id;
+  Checker checker(doc);
+  JobSpec spec = ReadJob(doc, &checker);
+  spec.id = id;
+  spec.submitted_ms = time_of_day_ms;
+  out.reason = checker.problem();
+  if (out.reason.empty()) out.spec = std::move(spec);
+  return out;
+}
+
+std::string FormatAnswer(const UserAnswer& a) {
+  Writer w;
+  w.Begin();
+  if (a.status == 200 || a.status == 201) {
+    w.Put("nameId", a.job).Put("phase", PhaseName(a.phase));
+    w.Put("done", a.done).Put("running", a.running);
+  } else {
+    w.Put("error", a.reason);
+  }
+  return w.End().Done();
+}
+
+std::optional<Report> ParseReport(std::string_view body) {
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) return std::nullopt;
+  Report r;
+  r.machine = Text(doc, "sett");
+  r.endpoint = Text(doc, "endpoint");
+  r.type = Text(doc, "build");
+  r.zone = Text(doc, "yard");
+  r.spot = Flag(doc, "loaners");
+  r.session = Count(doc, "tenure");
+  r.seq = Count(doc, "tally");
+  r.baton = Count(doc, "baton");
+  if (const Value* n = Find(doc, "recallS"); n && n->IsNumber()) r.notice = Seconds(n->GetDouble());
+  if (r.machine.empty() || r.machine.size() > kNameLimit || r.session == 0) return std::nullopt;
+  if (const Value* legs = List(doc, "legs")) {
+    r.tasks.reserve(legs->Size());
+    for (const Value& leg : legs->GetArray()) {
+      ReportedTask t;
+      if (!ParseTask(Text(leg, "leg"), &t.ref)) continue;
+      t.attempt = Count(leg, "try");
+      t.state = ParseRunState(Text(leg, "phase"));
+      if (t.state == RunState::kExited) t.cause = ParseCause(Text(leg, "cause"));
+      t.saved = Flag(leg, "stored");
+      r.tasks.push_back(std::move(t));
+    }
+  }
+  return r;
+}
+
+std::string FormatCheckinAnswer(const CheckinAnswer& a) {
+  Writer w;
+  w.Begin();
+  if (a.status == 200) {
+    w.Put("baton", a.baton);
+    PutOrders(&w, a.orders);
+  } else if (a.status == 421 && !a.leader.empty()) {
+    w.Put("overseer", a.leader);
+  }
+  return w.End().Done();
+}
+
+std::string FormatDirect(const DirectOp& op) {
+  Writer w;
+  w.Begin().Put("baton", op.baton).Put("tenure", op.session);
+  PutOrders(&w, op.orders);
+  return w.End().Done();
+}
+
+std::string FormatRent(const CloudOp& op) {
+  Writer w;
+  w.Begin().Put("hire", op.name).Put("build", op.type).Put("yard", op.zone);
+  return w.Put("loaners", op.spot).Put("number", op.count).End().Done();
+}
+
+std::string FormatReturn(const CloudOp& op) {
+  Writer w;
+  w.Begin().Key("setts").BeginList();
+  for (const std::string& m : op.machines) w.Str(m);
+  return w.EndList().End().Done();
+}
+
+bool ParseTypes(std::string_view body, CloudReply* reply) {
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) return false;
+  const Value* builds = List(doc, "builds");
+  if (!builds) return false;
+  for (const Value& b : builds->GetArray()) {
+    MachineType t;
+    t.name = Text(b, "sku");
+    if (t.name.empty()) return false;
+    t.size = {Thousandths(Number(b, "cpus")), Thousandths(Number(b, "accelerators")),
+              Thousandths(Number(b, "memGb"))};
+    t.image_cache_gb = Number(b, "localGb");
+    t.fetch_gb_per_s = Number(b, "fetchGbPerS");
+    t.price = Number(b, "rate");
+    t.spot_price = Number(b, "spotPrice");
+    t.boot = Seconds(Number(b, "bootS"));
+    if (const Value* yards = List(b, "yards")) {
+      for (const Value& y : yards->GetArray()) {
+        if (y.IsString()) t.zones.emplace_back(y.GetString(), y.GetStringLength());
+      }
+    }
+    reply->types.push_back(std::move(t));
+  }
+  return !reply->types.empty();
+}
+
+bool ParseRented(std::string_view body, CloudReply* reply) {
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) return false;
+  const Value* names = List(doc, "setts");
+  if (!names) return false;
+  for (const Value& n : names->GetArray()) {
+    if (n.IsString()) reply->rented.emplace_back(n.GetString(), n.GetStringLength());
+  }
+  return true;
+}
+
+bool ParseListed(std::string_view body, CloudReply* reply) {
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) return false;
+  const Value* list = List(doc, "setts");
+  if (!list) return false;
+  for (const Value& v : list->GetArray()) {
+    ListedMachine m;
+    m.id = Text(v, "nameId");
+    m.endpoint = Text(v, "endpoint");
+    m.type = Text(v, "build");
+    m.zone = Text(v, "yard");
+    m.spot = Flag(v, "loaners");
+    const std::string phase = Text(v, "phase");
+    m.phase = phase == "running"  ? ListedMachine::Phase::kRunning
+              : phase == "failed" ? ListedMachine::Phase::kFailed
+                                  : ListedMachine::Phase::kStarting;
+    m.age = Seconds(Number(v, "heldS"));
+    if (!m.id.empty()) reply->listed.push_back(std::move(m));
+  }
+  reply->more = Flag(doc, "truncated");
+  return true;
+}
+
+std::string FormatCommit(const StateOp& op) {
+  Writer w;
+  w.Begin().Key("guards").BeginList();
+  for (const Guard& g : op.guards) w.Begin().Put("path", g.key).Put("stamp", g.stamp).End();
+  w.EndList().Key("then").BeginList();
+  for (const Change& c : op.changes) {
+    w.Begin();
+    if (c.erase) {
+      w.Put("delete", c.key);
+    } else {
+      w.Put("put", c.key).Key("value");
+      PutRecord(&w, c.value);
+      if (c.lease != 0) w.Put("tenancy", c.lease);
+    }
+    w.End();
+  }
+  return w.EndList().End().Done();
+}
+
+std::string FormatGrant(const StateOp& op) {
+  Writer w;
+  return w.Begin().Put("lifeMs", op.span.ToMillis()).End().Done();
+}
+
+bool ParseEntry(std::string_view body, StateReply* reply) {
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) return false;
+  reply->entries.push_back(ReadEntry(doc));
+  return reply->entries.back().stamp != 0;
+}
+
+bool ParseEntries(std::string_view body, StateReply* reply) {
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) return false;
+  const Value* list = List(doc, "entries");
+  if (!list) return false;
+  for (const Value& v : list->GetArray()) reply->entries.push_back(ReadEntry(v));
+  reply->more = Flag(doc, "truncated");
+  reply->epoch = Count(doc, "epoch");
+  return true;
+}
+
+bool ParseChanges(std::string_view body, StateReply* reply) {
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) return false;
+  reply->epoch = Count(doc, "epoch");
+  const Value* list = List(doc, "log");
+  if (!list) return true;
+  for (const Value& v : list->GetArray()) {
+    Entry e;
+    e.erased = Find(v, "delete") != nullptr;
+    e.key = Text(v, e.erased ? "delete" : "put");
+    e.stamp = Count(v, "stamp");
+    if (const Value* value = Find(v, "value"); value && !e.erased) {
+      e.value = ReadRecord(e.key, *value);
+    }
+    reply->entries.push_back(std::move(e));
+  }
+  return true;
+}
+
+bool ParseCommit(std::string_view body, StateReply* reply) {
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) return false;
+  reply->epoch = Count(doc, "epoch");
+  if (const Value* failed = List(doc, "failed")) {
+    for (const Value& f : failed->GetArray()) {
+      if (f.IsString()) reply->failed.emplace_back(f.GetString(), f.GetStringLength());
+    }
+  }
+  return true;
+}
+
+bool ParseGrant(std::string_view body, StateReply* reply) {
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) return false;
+  reply->lease = Count(doc, "tenancy");
+  return reply->lease != 0;
+}
+
+}  // namespace badgershore::wire
--- /dev/null
+++ b/src/wire/records.cpp
@@ -0,0 +1,136 @@
+#include "wire/records.h"
+
+namespace badgershore::wire {
+namespace {
+
+void PutResources(Writer* w, const Resources& r) {
+  w->Put("cpu", r.cpu).Put("gpu", r.gpu).Put("mem", r.mem);
+}
+
+Resources ReadResources(const Value& v) {
+  return {static_cast<int64_t>(Number(v, "cpu")), static_cast<int64_t>(Number(v, "gpu")),
+          static_cast<int64_t>(Number(v, "mem"))};
+}
+
+void PutList(Writer* w, const char* key, const std::vector<std::string>& list) {
+  w->Key(key).BeginList();
+  for (const std::string& s : list) w->Str(s);
+  w->EndList();
+}
+
+std::vector<std::string> ReadList(const Value& v) {
+  std::vector<std::string> out;
+  if (!v.IsArray()) return out;
+  for (const Value& s : v.GetArray()) {
+    if (s.IsString()) out.emplace_back(s.GetString(), s.GetStringLength());
+  }
+  return out;
+}
+
+Micros ReadMicros(const Value& v, const char* name) {
+  return {static_cast<int64_t>(Number(v, name))};
+}
+
+struct PutVisitor {
+  Writer* w;
+  void operator()(const std::monostate&) const {}
+  void operator()(const TermRecord& r) const { w->Put("term", r.term).Put("leader", r.leader); }
+  void operator()(const LeadRecord& r) const { w->Put("leader", r.leader).Put("term", r.term); }
+  void operator()(const EndRecord& r) const {
+    w->Put("end", r.withdrawn ? "withdrawn" : "done").Put("tasks", r.tasks);
+  }
+  void operator()(const ProgressRecord& r) const { w->Put("bits", r.bits); }
+  void operator()(const MachineRecord& r) const {
+    w->Put("id", r.id).Put("endpoint", r.endpoint).Put("type", r.type).Put("zone", r.zone);
+    w->Put("spot", r.spot);
+  }
+  void operator()(const TypeCountRecord& r) const { w->Put("count", r.count); }
+  void operator()(const MachineType& r) const {
+    w->Put("name", r.name);
+    PutResources(w, r.size);
+    w->Put("cache", r.image_cache_gb).Put("fetch", r.fetch_gb_per_s).Put("price", r.price);
+    w->Put("spot_price", r.spot_price).Put("boot_us", r.boot.count);
+    PutList(w, "zones", r.zones);
+  }
+  void operator()(const JobSpec& r) const {
+    w->Put("id", r.id).Put("lane", r.lane).Put("team", r.team);
+    w->Put("shape", static_cast<int>(r.shape)).Put("rank", static_cast<int>(r.rank));
+    w->Put("tasks", r.tasks);
+    PutResources(w, r.need);
+    w->Put("image", r.image).Put("image_gb", r.image_gb);
+    if (r.types) PutList(w, "types", *r.types);
+    if (r.zone) w->Put("zone", *r.zone);
+    w->Put("same_zone", r.same_zone).Put("spread", r.spread).Put("spot_ok", r.spot_ok);
+    w->Put("estimate_us", r.estimate.count).Put("checkpoint_us", r.checkpoint_every.count);
+    w->Put("save_us", r.save_time.count);
+    if (r.due) w->Put("due_us", r.due->count);
+    w->Put("submitted_ms", r.submitted_ms);
+  }
+};
+
+bool Starts(const std::string& key, const std::string& prefix) {
+  return key.compare(0, prefix.size(), prefix) == 0;
+}
+
+JobSpec ReadJob(const Value& v) {
+  JobSpec s;
+  s.id = Text(v, "id");
+  s.lane = Text(v, "lane");
+  s.team = Text(v, "team");
+  s.shape = static_cast<Shape>(std::clamp(static_cast<int>(Number(v, "shape")), 0, 2));
+  s.rank = static_cast<Rank>(std::clamp(static_cast<int>(Number(v, "rank")), 0, 3));
+  s.tasks = std::clamp(static_cast<int>(Number(v, "tasks")), 1, 100000);
+  s.need = ReadResources(v);
+  s.image = Text(v, "image");
+  s.image_gb = Number(v, "image_gb");
+  if (const Value* types = Find(v, "types")) s.types = ReadList(*types);
+  if (Find(v, "zone")) s.zone = Text(v, "zone");
+  s.same_zone = Flag(v, "same_zone");
+  s.spread = Flag(v, "spread");
+  s.spot_ok = Flag(v, "spot_ok");
+  s.estimate = ReadMicros(v, "estimate_us");
+  s.checkpoint_every = ReadMicros(v, "checkpoint_us");
+  s.save_time = ReadMicros(v, "save_us");
+  if (Find(v, "due_us")) s.due = ReadMicros(v, "due_us");
+  s.submitted_ms = static_cast<int64_t>(Number(v, "submitted_ms"));
+  return s;
+}
+
+}  // namespace
+
+void PutRecord(Writer* w, const Record& record) {
+  w->Begin();
+  std::visit(PutVisitor{w}, record);
+  w->End();
+}
+
+Record ReadRecord(const std::string& key, const Value& v) {
+  if (!v.IsObject()) return {};
+  if (key == keys::kTerm) return TermRecord{Count(v, "term"), Text(v, "leader")};
+  if (key == keys::kLead) return LeadRecord{Text(v, "leader"), Count(v, "term")};
+  if (key == keys::kTypes) return TypeCountRecord{static_cast<int>(Number(v, "count"))};
+  if (Starts(key, keys::kType)) {
+    MachineType t;
+    t.name = Text(v, "name");
+    t.size = ReadResources(v);
+    t.image_cache_gb = Number(v, "cache");
+    t.fetch_gb_per_s = Number(v, "fetch");
+    t.price = Number(v, "price");
+    t.spot_price = Number(v, "spot_price");
+    t.boot = ReadMicros(v, "boot_us");
+    if (const Value* zones = Find(v, "zones")) t.zones = ReadList(*zones);
+    return t;
+  }
+  if (Starts(key, keys::kJob)) return ReadJob(v);
+  if (Starts(key, keys::kEnd)) {
+    return EndRecord{Text(v, "end") == "withdrawn", static_cast<int>(Number(v, "tasks"))};
+  }
+  if (Starts(key, keys::kProgress)) return ProgressRecord{Text(v, "bits")};
+  if (Starts(key, keys::kFleet)) {
+    return MachineRecord{Text(v, "id"), Text(v, "endpoint"), Text(v, "type"), Text(v, "zone"),
+                         Flag(v, "spot")};
+  }
+  return {};
+}
+
+}  // namespace badgershore::wire
