--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -669,6 +669,7 @@
     return Verdict::kLater;
   }
   OrdersFor(now, m, orders);
+  if (!finish_queue_.empty()) Write(now);  // its user is waiting to hear of it
   return Verdict::kAnswer;
 }
 
@@ -764,6 +765,7 @@
 // waited past the age limit before all.
 bool Leader::TakeQueued(Micros now, Machine* m, Resources* used, bool aged_only,
                         std::vector<Order>* orders) {
+  QueueEntry* best = nullptr;
   for (auto it = m->queue.begin(); it != m->queue.end();) {
     QueueEntry& entry = it->second;
     Job* job = entry.job;
@@ -779,17 +781,21 @@
       it = m->queue.erase(it);
       continue;
     }
-    const bool aged = now - job->arrived > options().age_limit;
-    if ((!aged_only || aged) && job->spec.need.Fits(RoomFor(*m, *job, *used, now)) &&
-        !Held(*job) && ZoneAllows(*job, m->zone) && LimitAllows(*job, 1)) {
-      const int task = entry.tasks.front().first;
-      entry.tasks.pop_front();
-      StartOne(now, m, job, task, used, orders);
-      return true;
-    }
     ++it;
+    if (aged_only && now - job->arrived <= options().age_limit) continue;
+    if (!job->spec.need.Fits(RoomFor(*m, *job, *used, now)) || Held(*job) ||
+        !ZoneAllows(*job, m->zone) || !LimitAllows(*job, 1)) {
+      continue;
+    }
+    // The queue is in order of estimate; among the aged, the oldest goes first.
+    if (!best || job->arrived < best->job->arrived) best = &entry;
+    if (!aged_only) break;
   }
-  return false;
+  if (!best) return false;
+  const int task = best->tasks.front().first;
+  best->tasks.pop_front();
+  StartOne(now, m, best->job, task, used, orders);
+  return true;
 }
 
 // A task that has waited long in another machine's queue moves to this one, which has room.
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,79 @@
+#include "config/config.h"
+
+#include <gtest/gtest.h>
+
+namespace badgershore::config {
+namespace {
+
+const std::string kGood = R"({"member":"m-0","site":"a","client_listen":"127.0.0.1:1","back":"127.0.0.1:2",
+ "members":[{"member":"m-1","site":"a","addr":"127.0.0.1:3"}],"new_field":1,
+ "external":{"cloud":"127.0.0.1:4","state":"127.0.0.1:5"},
+ "params":{"zones":["a"],"teams":[{"name":"t","cpus":2.5,"cpus_max":4}],
+  "objectives":[{"kind":"finished","class":"c","within_s":250.0,"share":0.9}],
+  "workers":{"report_s":3.0,"lease_s":18.0,"gang_wait_s":30.0,"gang_peer_s":6.0,"cancel_s":43.0},
+  "state":{"rps":120.0,"write_rps":15.0,"value_kb":8.0,"txn_ops":8},
+  "cloud":{"rps":8.0,"list_lag_s":8.0},
+  "quota":{"cores":0.1,"mem_mb":56.0,"max_connections":700}}})";
+
+std::string Complaint(std::string text, const std::string& from, const std::string& to) {
+  const size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  text.replace(at, from.size(), to);
+  try {
+    ParsePlatform(text, "f.json");
+  } catch (const Error& e) {
+    return e.what();
+  }
+  return "accepted";
+}
+
+TEST(Platform, ReadsTheFile) {
+  const PlatformSettings s = ParsePlatform(kGood, "f.json");
+  EXPECT_EQ(s.member, "m-0");
+  EXPECT_EQ(s.worker_lease, Seconds(18));
+  EXPECT_EQ(s.teams[0].guarantee.cpu, 2500);
+  EXPECT_EQ(s.teams[0].limit.cpu, 4000);
+  EXPECT_EQ(s.objectives[0].within, Seconds(250));
+}
+
+TEST(Platform, NamesFileFieldAndExpectation) {
+  EXPECT_EQ(Complaint(kGood, "\"lease_s\":18.0", "\"lease_s\":\"x\""),
+            "f.json: params.workers.lease_s: expected a number from 0.001 to 1e+06");
+  EXPECT_EQ(Complaint(kGood, "127.0.0.1:5", "nowhere"),
+            "f.json: external.state: expected ADDRESS:PORT");
+  EXPECT_EQ(Complaint(kGood, "\"member\":\"m-1\",", ""),
+            "f.json: members[0].member: expected a non-empty string");
+  EXPECT_EQ(Complaint(kGood, "\"cancel_s\":43.0", "\"cancel_s\":10.0"),
+            "f.json: params.workers.cancel_s: expected more than lease_s, or a cancellation can't "
+            "be kept");
+  EXPECT_EQ(Complaint(kGood, "{\"member\":\"m-0\"", "[1"), "f.json: expected a JSON object");
+}
+
+TEST(OperatorOptions, DefaultsAndOwnValues) {
+  EXPECT_EQ(ParseOptions("", "o.yaml").bucket_width, 2.0);
+  const Options o = ParseOptions("dispatch:\n  bucket_width: 1.5\n  rebind_wait_s: 4\n", "o.yaml");
+  EXPECT_EQ(o.bucket_width, 1.5);
+  EXPECT_EQ(o.rebind_wait, Seconds(4));
+}
+
+TEST(OperatorOptions, RefuseUnknownKeysAndBadValues) {
+  const auto complaint = [](const std::string& text) -> std::string {
+    try {
+      ParseOptions(text, "o.yaml");
+    } catch (const Error& e) {
+      return e.what();
+    }
+    return "accepted";
+  };
+  EXPECT_EQ(complaint("dispatch:\n  width: 2\n"),
+            "o.yaml: dispatch.width: expected a known setting");
+  EXPECT_EQ(complaint("nothing: {}\n"), "o.yaml: nothing: expected a known section");
+  EXPECT_EQ(complaint("dispatch:\n  bucket_width: wide\n"),
+            "o.yaml: dispatch.bucket_width: expected a number from 1.01 to 100");
+  EXPECT_EQ(complaint("failover:\n  lease_s: 0\n"),
+            "o.yaml: failover.lease_s: expected a number from 1 to 60");
+  EXPECT_EQ(complaint("dispatch: [1\n").substr(0, 12), "o.yaml: line");
+}
+
+}  // namespace
+}  // namespace badgershore::config
--- /dev/null
+++ b/tests/program_test.cpp
@@ -0,0 +1,192 @@
+// The program itself, on loopback, against the stand-ins.
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+
+#include "standins.h"
+
+namespace badgershore {
+namespace {
+
+// A port that was free a moment ago.
+std::string FreeAddress() {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in sa{};
+  sa.sin_family = AF_INET;
+  sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t len = sizeof(sa);
+  EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&sa), sizeof(sa)), 0);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&sa), &len);
+  ::close(fd);
+  return "127.0.0.1:" + std::to_string(ntohs(sa.sin_port));
+}
+
+struct NodeProcess {
+  std::string listen = FreeAddress(), back = FreeAddress(), file;
+  pid_t pid = 0;
+
+  void Start() {
+    pid = fork();
+    if (pid == 0) {
+      setenv("LOG_LEVEL", "error", 1);
+      execl(BADGERSHORE_PROGRAM, BADGERSHORE_PROGRAM, "--config", file.c_str(), nullptr);
+      _exit(127);
+    }
+  }
+  void Kill() {
+    if (pid <= 0) return;
+    ::kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+    pid = 0;
+  }
+  ~NodeProcess() {
+    Kill();
+    if (!file.empty()) std::remove(file.c_str());
+  }
+};
+
+class Program : public testing::Test {
+ protected:
+  Program() : state_(&loop_), cloud_(&loop_) {
+    EXPECT_TRUE(state_.Start(state_addr_));
+    EXPECT_TRUE(cloud_.Start(cloud_addr_));
+    for (size_t i = 0; i < 3; ++i) {
+      char name[] = "/tmp/badgershore-test-XXXXXX";
+      const int fd = mkstemp(name);
+      ::close(fd);
+      nodes_[i].file = name;
+      std::string members;
+      for (size_t k = 0; k < 3; ++k) {
+        if (k == i) continue;
+        members += std::string(members.empty() ? "" : ",") + "{\"member\":\"m-" +
+                   std::to_string(k) + "\",\"site\":\"a\",\"addr\":\"" + nodes_[k].back + "\"}";
+      }
+      std::ofstream(name) << "{\"member\":\"m-" << i << "\",\"site\":\"a\",\"client_listen\":\""
+                          << nodes_[i].listen << "\",\"back\":\"" << nodes_[i].back
+                          << "\",\"members\":[" << members << "],\"external\":{\"cloud\":\""
+                          << cloud_addr_ << "\",\"state\":\"" << state_addr_
+                          << "\"},\"params\":{\"zones\":[\"a\"],\"teams\":[{\"name\":\"t\"}],"
+                             "\"workers\":{\"report_s\":0.25,\"lease_s\":5,\"gang_wait_s\":10,"
+                             "\"gang_peer_s\":2,\"cancel_s\":20},\"state\":{\"rps\":1000,"
+                             "\"write_rps\":200,\"value_kb\":8,\"txn_ops\":8},\"cloud\":{\"rps\":20,"
+                             "\"list_lag_s\":1},\"quota\":{\"mem_mb\":64,\"max_connections\":200}}}";
+      listens_.push_back(nodes_[i].listen);
+    }
+  }
+
+  io::Task<http::ClientAnswer> Ask(size_t node, std::string method, std::string path,
+                                   std::string body = "") {
+    http::Client client(&loop_, nodes_[node].listen, 0, {});
+    co_return co_await client.Request(std::move(method), std::move(path), std::move(body),
+                                      Seconds(5));
+  }
+  // Asks until the answer has the status and the text, for at most `limit`.
+  io::Task<bool> Until(size_t node, std::string method, std::string path, std::string body,
+                       int status, std::string text, Micros limit = Seconds(60)) {
+    const Micros end = io::Loop::Now() + limit;
+    while (io::Loop::Now() < end) {
+      http::ClientAnswer a = co_await Ask(node, method, path, body);
+      if (a.answered() && a.status == status && a.body.find(text) != std::string::npos) {
+        co_return true;
+      }
+      co_await loop_.Sleep(Millis(100));
+    }
+    co_return false;
+  }
+  static std::string Job(const std::string& id, int tasks) {
+    return "{\"nameId\":\"" + id + "\",\"lane\":\"l\",\"owner\":\"t\",\"shape\":\"array\","
+           "\"rank\":\"normal\",\"legs\":" + std::to_string(tasks) +
+           ",\"cpus\":1,\"memGb\":1,\"kit\":\"k\",\"imageGb\":1,\"expectS\":1}";
+  }
+  void Run(io::Task<void> story) {
+    io::Spawn(Story(std::move(story)));
+    loop_.Run();
+  }
+  io::Task<void> Story(io::Task<void> story) {
+    co_await story;
+    loop_.Stop();
+  }
+
+  io::Loop loop_;
+  std::string state_addr_ = FreeAddress(), cloud_addr_ = FreeAddress();
+  standins::StateService state_;
+  standins::Cloud cloud_;
+  NodeProcess nodes_[3];
+  std::vector<std::string> listens_;
+};
+
+TEST_F(Program, RunsJobsThroughTheLossOfNodes) {
+  for (NodeProcess& n : nodes_) n.Start();
+  standins::Worker worker(&loop_, "n-000001", listens_, Millis(300));
+  worker.Start();
+  bool accepted = false, again = false, done = false, after = false, unknown = false;
+  Run([](Program_RunsJobsThroughTheLossOfNodes_Test* t, bool* accepted, bool* again, bool* done,
+         bool* after, bool* unknown) -> io::Task<void> {
+    *accepted = co_await t->Until(0, "POST", "/work", Job("job-000001", 6), 201, "pending");
+    *again = co_await t->Until(1, "POST", "/work", Job("job-000001", 6), 200, "job-000001");
+    *done = co_await t->Until(2, "GET", "/work/job-000001", "", 200, "\"done\"");
+    for (NodeProcess& n : t->nodes_) n.Kill();
+    for (NodeProcess& n : t->nodes_) n.Start();
+    *after = co_await t->Until(1, "GET", "/work/job-000001", "", 200, "\"phase\":\"done\"");
+    *unknown = co_await t->Until(1, "GET", "/work/job-000099", "", 404, "");
+  }(this, &accepted, &again, &done, &after, &unknown));
+  EXPECT_TRUE(accepted);
+  EXPECT_TRUE(again);
+  EXPECT_TRUE(done);
+  EXPECT_TRUE(after);
+  EXPECT_TRUE(unknown);
+  EXPECT_EQ(worker.started, 6);
+  EXPECT_FALSE(worker.twice);
+  EXPECT_TRUE(state_.Has("end/job-000001"));
+  EXPECT_FALSE(state_.Has("job/job-000001"));
+}
+
+TEST_F(Program, AnswersAtOnceInAnOutageAndWithdrawsAfterIt) {
+  for (NodeProcess& n : nodes_) n.Start();
+  standins::Worker worker(&loop_, "n-000001", listens_, Seconds(600));
+  worker.Start();
+  bool accepted = false, refused = false, withdrawn = false, stays = false, bad = false;
+  Run([](Program_AnswersAtOnceInAnOutageAndWithdrawsAfterIt_Test* t, bool* accepted,
+         bool* refused, bool* withdrawn, bool* stays, bool* bad) -> io::Task<void> {
+    *accepted = co_await t->Until(0, "POST", "/work", Job("job-000001", 2), 201, "pending");
+    *bad = co_await t->Until(0, "POST", "/work", "{\"nameId\":\"job-000007\"}", 400, "lane");
+    t->state_.SetDown(true);
+    *refused = co_await t->Until(0, "POST", "/work", Job("job-000002", 2), 503, "error");
+    t->state_.SetDown(false);
+    *withdrawn =
+        co_await t->Until(1, "POST", "/work/job-000001/withdraw", "", 200, "withdrawn");
+    *stays = co_await t->Until(2, "GET", "/work/job-000001", "", 200, "withdrawn");
+  }(this, &accepted, &refused, &withdrawn, &stays, &bad));
+  EXPECT_TRUE(accepted);
+  EXPECT_TRUE(bad);
+  EXPECT_TRUE(refused);
+  EXPECT_TRUE(withdrawn);
+  EXPECT_TRUE(stays);
+}
+
+TEST(CommandLine, SaysWhatIsWrongInOneLine) {
+  const auto run = [](const std::string& args, std::string* out) {
+    FILE* p = popen((std::string(BADGERSHORE_PROGRAM) + " " + args + " 2>&1").c_str(), "r");
+    char buffer[512];
+    while (fgets(buffer, sizeof(buffer), p)) *out += buffer;
+    return WEXITSTATUS(pclose(p));
+  };
+  std::string missing, version, help;
+  EXPECT_EQ(run("--config /nowhere.json --check", &missing), 2);
+  EXPECT_EQ(missing, "badgershore: /nowhere.json: can't be read\n");
+  EXPECT_EQ(run("--version", &version), 0);
+  EXPECT_EQ(version.substr(0, 12), "badgershore ");
+  EXPECT_EQ(run("--help", &help), 0);
+  EXPECT_NE(help.find("--options"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace badgershore
--- /dev/null
+++ b/tests/standins.h
@@ -0,0 +1,92 @@
+// Stand-ins for the state service, the cloud and a worker, by their published protocols.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "io/loop.h"
+
+namespace badgershore::standins {
+
+class StateService {
+ public:
+  explicit StateService(io::Loop* loop);
+  bool Start(const std::string& addr) {
+    std::string error;
+    return server_.Start(addr, &error);
+  }
+  void SetDown(bool down) { down_ = down; }
+  bool Has(const std::string& key) const { return items_.count(key) > 0; }
+
+ private:
+  struct Item {
+    std::string value;
+    uint64_t stamp = 0, lease = 0;
+  };
+  struct Event {
+    std::string key, value;
+    uint64_t stamp = 0;
+    bool erased = false;
+  };
+  io::Task<http::ServerAnswer> Handle(http::Message m);
+  http::ServerAnswer Commit(const std::string& body);
+  void Expire();
+  void Erase(const std::string& key);
+
+  io::Loop* loop_;
+  http::Server server_;
+  bool down_ = false;
+  uint64_t epoch_ = 0, next_lease_ = 0;
+  std::map<std::string, Item> items_;
+  std::vector<Event> log_;
+  struct Lease {
+    Micros life, until;
+  };
+  std::map<uint64_t, Lease> leases_;
+};
+
+class Cloud {
+ public:
+  explicit Cloud(io::Loop* loop);
+  bool Start(const std::string& addr) {
+    std::string error;
+    return server_.Start(addr, &error);
+  }
+  std::set<std::string> returned;
+
+ private:
+  io::Task<http::ServerAnswer> Handle(http::Message m);
+  http::Server server_;
+};
+
+// Runs every task for `run`, reports four times a second.
+class Worker {
+ public:
+  Worker(io::Loop* loop, std::string name, std::vector<std::string> controllers, Micros run);
+  void Start() { io::Spawn(Report()); }
+  int started = 0;
+  bool twice = false;  // the same task was started while it was here
+
+ private:
+  struct Running {
+    uint64_t attempt = 0;
+    Micros until;
+    bool exited = false, done = false;
+  };
+  io::Task<void> Report();
+  void Obey(const std::string& body);
+
+  io::Loop* loop_;
+  std::string name_;
+  std::vector<std::string> controllers_;
+  size_t at_ = 0;
+  Micros run_;
+  uint64_t tally_ = 0, baton_ = 0;
+  std::map<std::string, Running> tasks_;
+};
+
+}  // namespace badgershore::standins
--- /dev/null
+++ b/tests/trace_runner.cpp
@@ -0,0 +1,612 @@
+// Plays a trace through the core and checks what comes out. See tests/traces/README.md.
+//
+// The core has no clock and no sockets, so a trace is the whole world: an in-memory state service
+// (which can be refused, go silent, or carry things out late), a cloud, and the workers' reports
+// word for word.
+#include <deque>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "core/controller.h"
+
+namespace badgershore {
+namespace {
+
+std::vector<std::string> Split(const std::string& s, char by) {
+  std::vector<std::string> out;
+  std::string word;
+  std::istringstream in(s);
+  while (std::getline(in, word, by)) {
+    const size_t a = word.find_first_not_of(' ');
+    if (a == std::string::npos) continue;
+    out.push_back(word.substr(a, word.find_last_not_of(' ') - a + 1));
+  }
+  return out;
+}
+
+// "key=value" words after the plain ones.
+struct Words {
+  std::vector<std::string> plain;
+  std::map<std::string, std::string> named;
+  explicit Words(const std::string& line) {
+    for (const std::string& w : Split(line, ' ')) {
+      const size_t eq = w.find('=');
+      if (eq == std::string::npos) {
+        plain.push_back(w);
+      } else {
+        named[w.substr(0, eq)] = w.substr(eq + 1);
+      }
+    }
+  }
+  std::string At(size_t i) const { return i < plain.size() ? plain[i] : ""; }
+  bool Has(const std::string& flag) const {
+    return std::find(plain.begin(), plain.end(), flag) != plain.end();
+  }
+  double Number(const std::string& key, double otherwise) const {
+    auto it = named.find(key);
+    return it == named.end() ? otherwise : std::stod(it->second);
+  }
+  std::string Text(const std::string& key, const std::string& otherwise = "") const {
+    auto it = named.find(key);
+    return it == named.end() ? otherwise : it->second;
+  }
+};
+
+// Attempts read as TERM.COUNT.
+std::string ShowAttempt(uint64_t a) {
+  return std::to_string(a >> 24) + "." + std::to_string(a & 0xffffff);
+}
+uint64_t ReadAttempt(const std::string& s) {
+  const size_t dot = s.find('.');
+  return (std::stoull(s.substr(0, dot)) << 24) + std::stoull(s.substr(dot + 1));
+}
+std::string ShowSeconds(Micros m) {
+  std::ostringstream out;
+  out << m.ToSeconds();
+  return out.str();
+}
+std::string ShowOrders(const std::vector<Order>& orders) {
+  std::string out;
+  for (const Order& o : orders) {
+    if (!out.empty()) out += "; ";
+    out += o.verb == Order::Verb::kStart  ? "start "
+           : o.verb == Order::Verb::kHalt ? "halt "
+                                          : "clear ";
+    out += o.ref.job + "/" + std::to_string(o.ref.task) + "@" + ShowAttempt(o.attempt);
+    if (o.verb == Order::Verb::kHalt) out += " grace " + ShowSeconds(o.grace);
+  }
+  return out.empty() ? "nothing" : out;
+}
+
+struct Stop {
+  std::string what;
+};
+
+class Store {
+ public:
+  enum class Mode { kUp, kRefusing, kSilent, kLosing };
+  Mode mode = Mode::kUp;
+  uint64_t epoch = 0;
+  struct Item {
+    Record value;
+    uint64_t stamp = 0, lease = 0;
+  };
+  std::map<std::string, Item> items;
+  std::vector<Entry> history;
+  std::vector<StateOp> held;  // sent into the dark, to be carried out late
+  uint64_t leases = 100;
+  std::set<uint64_t> live_leases;
+
+  void Put(const std::string& key, Record value, uint64_t lease = 0) {
+    items[key] = Item{std::move(value), epoch, lease};
+    history.push_back(Entry{key, items[key].value, epoch, false});
+  }
+  void Erase(const std::string& key) {
+    if (items.erase(key)) history.push_back(Entry{key, {}, epoch, true});
+  }
+  void EndLease(uint64_t lease) {
+    live_leases.erase(lease);
+    std::vector<std::string> gone;
+    for (auto& [k, i] : items)
+      if (i.lease == lease) gone.push_back(k);
+    if (!gone.empty()) ++epoch;
+    for (const std::string& k : gone) Erase(k);
+  }
+  static bool Under(const std::string& key, const std::string& prefix) {
+    return key.compare(0, prefix.size(), prefix) == 0;
+  }
+  StateReply Do(const StateOp& op) {
+    using K = StateOp::Kind;
+    using O = StateReply::Outcome;
+    StateReply r;
+    r.outcome = O::kOk;
+    r.epoch = epoch;
+    switch (op.kind) {
+      case K::kGet: {
+        auto it = items.find(op.key);
+        if (it == items.end()) {
+          r.outcome = O::kMissing;
+        } else {
+          r.entries.push_back(Entry{op.key, it->second.value, it->second.stamp, false});
+        }
+        break;
+      }
+      case K::kList:
+        for (auto& [k, i] : items) {
+          if (Under(k, op.key) && k > op.after) r.entries.push_back(Entry{k, i.value, i.stamp, false});
+        }
+        break;
+      case K::kCommit: {
+        for (const Guard& g : op.guards) {
+          auto it = items.find(g.key);
+          if ((it == items.end() ? 0 : it->second.stamp) != g.stamp) r.failed.push_back(g.key);
+        }
+        if (!r.failed.empty()) {
+          r.outcome = O::kConflict;
+          break;
+        }
+        for (const Change& c : op.changes) {
+          if (c.lease != 0 && !live_leases.count(c.lease)) {
+            r.outcome = O::kInvalid;
+            return r;
+          }
+        }
+        ++epoch;
+        for (const Change& c : op.changes) {
+          if (c.erase) {
+            Erase(c.key);
+          } else {
+            Put(c.key, c.value, c.lease);
+          }
+        }
+        r.epoch = epoch;
+        break;
+      }
+      case K::kGrant:
+        r.lease = ++leases;
+        live_leases.insert(r.lease);
+        break;
+      case K::kTouch:
+        if (!live_leases.count(op.lease)) r.outcome = O::kMissing;
+        break;
+      case K::kRelease:
+        EndLease(op.lease);
+        break;
+      case K::kWatch:
+        for (const Entry& e : history) {
+          if (e.stamp > op.revision && Under(e.key, op.key)) r.entries.push_back(e);
+        }
+        break;
+    }
+    return r;
+  }
+};
+
+class Player {
+ public:
+  Player() {
+    settings_.member = "m-0";
+    settings_.site = "a";
+    settings_.members = {{"m-1", "x:1"}, {"m-2", "x:2"}};
+    settings_.zones = {"a", "b"};
+    settings_.teams = {{"team", {}, {}}, {"small", {}, {2000, 0, 0}}};
+    settings_.report_every = Seconds(1);
+    settings_.worker_lease = Seconds(10);
+    settings_.gang_wait = Seconds(30);
+    settings_.gang_peer = Seconds(4);
+    settings_.cancel_within = Seconds(40);
+    settings_.cloud_list_lag = Seconds(2);
+    MachineType box;
+    box.name = "box";
+    box.size = {4000, 0, 8000};
+    box.price = 1;
+    box.spot_price = 0.3;
+    box.boot = Seconds(30);
+    MachineType big = box;
+    big.name = "big";
+    big.size = {32000, 0, 64000};
+    big.price = 6;
+    big.spot_price = 2;
+    types_ = {box, big};
+    rents_ = false;
+  }
+
+  void Line(const std::string& line) {
+    const size_t bar = line.find('|');
+    const Words w(line.substr(0, bar));
+    const std::string tail = bar == std::string::npos ? "" : line.substr(bar + 1);
+    const std::string verb = w.At(0);
+    if (verb == "option") return Option(w);
+    if (!core_) core_ = std::make_unique<Controller>(settings_, options_);
+    if (verb == "advance") return Advance(Seconds(std::stod(w.At(1))));
+    if (verb == "restart") {
+      core_ = std::make_unique<Controller>(settings_, options_);
+      watches_.clear();
+      direct_.clear();
+      return;
+    }
+    if (verb == "job") return SubmitJob(w);
+    if (verb == "query") {
+      core_->OnQuery(now_, ++token_, w.At(1));
+      return Pump();
+    }
+    if (verb == "withdraw") {
+      core_->OnWithdraw(now_, ++token_, w.At(1));
+      return Pump();
+    }
+    if (verb == "answers") return Expect(line.substr(8), last_answer_);
+    if (verb == "report") return SendReport(w, tail);
+    if (verb == "gets") return Expect(line.substr(5), last_checkin_);
+    if (verb == "sees") return Sees(line.substr(5));
+    if (verb == "unseen") return Unseen(line.substr(7));
+    if (verb == "forget") return seen_.clear();
+    if (verb == "direct") return AnswerDirect(w, tail);
+    if (verb == "state") return SetState(w.At(1));
+    if (verb == "store") return CheckStore(w);
+    if (verb == "elsewhere") return Elsewhere(w);
+    if (verb == "cloud") return SetCloud(w, tail);
+    if (verb == "leads" || verb == "follows") {
+      if (core_->leads() != (verb == "leads")) throw Stop{"it is the other way round"};
+      return;
+    }
+    throw Stop{"no such step"};
+  }
+
+ private:
+  void Option(const Words& w) {
+    options_.rebind_wait = Seconds(w.Number("rebind_wait", options_.rebind_wait.ToSeconds()));
+    options_.age_limit = Seconds(w.Number("age_limit", options_.age_limit.ToSeconds()));
+  }
+
+  void Advance(Micros by) {
+    const Micros end = now_ + by;
+    while (now_ < end) {
+      now_ = std::min(end, now_ + Millis(100));
+      core_->Tick(now_, 1000000 + now_.ToMillis());
+      Pump();
+    }
+  }
+
+  // Carries out what the core asks for, until it asks for nothing more.
+  void Pump() {
+    for (int round = 0; round < 200; ++round) {
+      Effects out = core_->Take();
+      for (const CheckinAnswer& a : out.checkins) {
+        if (a.token != checkin_token_) continue;
+        last_checkin_ = std::to_string(a.status);
+        if (a.status == 200) {
+          last_checkin_ += " baton " + std::to_string(a.baton) + ": " + ShowOrders(a.orders);
+        }
+        if (a.status == 421) last_checkin_ += " " + a.leader;
+      }
+      for (const UserAnswer& a : out.answers) {
+        static const char* kPhases[] = {"pending", "running", "done", "withdrawn"};
+        last_answer_ = std::to_string(a.status);
+        if (a.status == 200 || a.status == 201) {
+          last_answer_ += std::string(" ") + kPhases[static_cast<int>(a.phase)];
+        }
+      }
+      for (DirectOp& d : out.direct) {
+        std::string text = "direct " + d.machine + " baton " + std::to_string(d.baton) + ": " +
+                           ShowOrders(d.orders);
+        seen_.push_back(text);
+        direct_[d.machine].push_back(d);
+      }
+      for (const CloudOp& c : out.cloud) RunCloud(c);
+      bool any = !out.cloud.empty();
+      for (StateOp& op : out.state) any |= RunStateOp(op);
+      any |= RunWatches();
+      if (!any) return;
+    }
+    throw Stop{"the core never comes to rest"};
+  }
+
+  bool RunStateOp(const StateOp& op) {
+    if (op.kind == StateOp::Kind::kWatch) {
+      watches_.push_back(op);
+      return false;
+    }
+    StateReply r;
+    switch (store_.mode) {
+      case Store::Mode::kUp:
+        r = store_.Do(op);
+        break;
+      case Store::Mode::kRefusing:
+        r.outcome = StateReply::Outcome::kRefused;
+        break;
+      case Store::Mode::kSilent:
+        store_.held.push_back(op);
+        r.outcome = StateReply::Outcome::kUnknown;
+        break;
+      case Store::Mode::kLosing:
+        store_.Do(op);
+        r.outcome = StateReply::Outcome::kUnknown;
+        break;
+    }
+    core_->OnState(now_, op.id, std::move(r));
+    return true;
+  }
+
+  bool RunWatches() {
+    if (store_.mode != Store::Mode::kUp) return false;
+    std::vector<StateOp> open;
+    std::swap(open, watches_);
+    bool any = false;
+    for (StateOp& op : open) {
+      StateReply r = store_.Do(op);
+      if (r.entries.empty()) {
+        watches_.push_back(op);
+      } else {
+        any = true;
+        core_->OnState(now_, op.id, std::move(r));
+      }
+    }
+    return any;
+  }
+
+  void RunCloud(const CloudOp& op) {
+    CloudReply r;
+    r.outcome = cloud_up_ ? CloudReply::Outcome::kOk : CloudReply::Outcome::kBusy;
+    if (op.kind == CloudOp::Kind::kRent) {
+      seen_.push_back("rent " + std::to_string(op.count) + " " + op.type +
+                      (op.spot ? " spot" : ""));
+      if (names_.count(op.name)) throw Stop{"a rental's name was used twice: " + op.name};
+      if (cloud_up_ && !rents_) r.outcome = CloudReply::Outcome::kNoCapacity;
+      for (int i = 0; rents_ && i < op.count; ++i) {
+        r.rented.push_back("n-9" + std::to_string(++rented_));
+      }
+      if (rents_ && cloud_up_ && !cloud_silent_) names_.insert(op.name);
+    }
+    if (op.kind == CloudOp::Kind::kReturn) {
+      for (const std::string& m : op.machines) seen_.push_back("return " + m);
+    }
+    if (cloud_up_ && op.kind == CloudOp::Kind::kTypes) r.types = types_;
+    if (cloud_up_ && op.kind == CloudOp::Kind::kList) r.listed = listed_;
+    if (cloud_silent_) r.outcome = CloudReply::Outcome::kUnknown;
+    core_->OnCloud(now_, op.id, std::move(r));
+  }
+
+  void SubmitJob(const Words& w) {
+    Submission s;
+    JobSpec spec;
+    spec.id = s.id = w.At(1);
+    spec.lane = w.Text("lane", "lane");
+    spec.team = w.Text("team", "team");
+    spec.shape = w.Has("gang")      ? Shape::kGang
+                 : w.Has("service") ? Shape::kService
+                                    : Shape::kArray;
+    spec.rank = w.Has("high") ? Rank::kHigh : Rank::kNormal;
+    spec.tasks = static_cast<int>(w.Number("tasks", 1));
+    spec.need = {static_cast<int64_t>(w.Number("cpus", 1) * 1000), 0,
+                 static_cast<int64_t>(w.Number("mem", 1) * 1000)};
+    spec.image = "image";
+    spec.estimate = Seconds(w.Number("estimate", 30));
+    spec.checkpoint_every = Seconds(w.Number("checkpoint", 0));
+    spec.save_time = Seconds(w.Number("save", 0));
+    spec.same_zone = w.Has("same_zone");
+    spec.spread = w.Has("spread");
+    spec.spot_ok = w.Has("spot");
+    if (!w.Text("type").empty()) spec.types = std::vector<std::string>{w.Text("type")};
+    if (!w.Text("zone").empty()) spec.zone = w.Text("zone");
+    spec.submitted_ms = 1000000 + now_.ToMillis();
+    if (!w.Has("malformed")) s.spec = spec;
+    core_->OnSubmit(now_, ++token_, s);
+    Pump();
+  }
+
+  Report ReadReport(const Words& w, const std::string& machine, const std::string& tail) {
+    Report r;
+    r.machine = machine;
+    r.endpoint = "e:" + machine;
+    r.type = w.Has("big") ? "big" : "box";
+    r.zone = w.Text("zone", "a");
+    r.spot = w.Has("spot");
+    r.session = static_cast<uint64_t>(w.Number("tenure", 1));
+    r.seq = w.named.count("tally") ? static_cast<uint64_t>(w.Number("tally", 0)) : ++tally_[machine];
+    tally_[machine] = std::max(tally_[machine], r.seq);
+    r.baton = static_cast<uint64_t>(w.Number("baton", 1));
+    if (w.named.count("notice")) r.notice = Seconds(w.Number("notice", 0));
+    static const std::map<std::string, RunState> kStates = {
+        {"fetching", RunState::kFetching}, {"gathering", RunState::kGathering},
+        {"running", RunState::kRunning},   {"flushing", RunState::kFlushing},
+        {"exited", RunState::kExited}};
+    static const std::map<std::string, ExitCause> kCauses = {
+        {"done", ExitCause::kDone},   {"halted", ExitCause::kHalted},
+        {"peers", ExitCause::kPeers}, {"alone", ExitCause::kAlone},
+        {"error", ExitCause::kError}, {"full", ExitCause::kFull},
+        {"busy", ExitCause::kBusy},   {"unknown", ExitCause::kUnknown}};
+    for (const std::string& item : Split(tail, ';')) {
+      const Words t(item);
+      const std::string name = t.At(0);
+      const size_t slash = name.find('/'), at = name.find('@');
+      ReportedTask task;
+      task.ref = {name.substr(0, slash), std::stoi(name.substr(slash + 1, at - slash - 1))};
+      task.attempt = ReadAttempt(name.substr(at + 1));
+      task.state = kStates.at(t.At(1));
+      if (task.state == RunState::kExited) task.cause = kCauses.at(t.At(2));
+      r.tasks.push_back(task);
+    }
+    return r;
+  }
+
+  void SendReport(const Words& w, const std::string& tail) {
+    last_checkin_ = "no answer yet";
+    checkin_token_ = ++token_;
+    core_->OnCheckin(now_, checkin_token_, ReadReport(w, w.At(1), tail));
+    Pump();
+  }
+
+  void AnswerDirect(const Words& w, const std::string& tail) {
+    auto& waiting = direct_[w.At(1)];
+    if (waiting.empty()) throw Stop{"no direct call is waiting at " + w.At(1)};
+    const DirectOp op = waiting.front();
+    waiting.pop_front();
+    DirectReply r;
+    r.status = std::stoi(w.At(2));
+    if (r.status != 0) r.report = ReadReport(w, w.At(1), tail);
+    core_->OnDirect(now_, op.id, std::move(r));
+    Pump();
+  }
+
+  void SetState(const std::string& mode) {
+    if (mode == "up") store_.mode = Store::Mode::kUp;
+    else if (mode == "refuses") store_.mode = Store::Mode::kRefusing;
+    else if (mode == "silent") store_.mode = Store::Mode::kSilent;
+    else if (mode == "loses-answers") store_.mode = Store::Mode::kLosing;
+    else if (mode == "delivers-late") {
+      std::vector<StateOp> held;
+      std::swap(held, store_.held);
+      for (const StateOp& op : held) store_.Do(op);
+    } else throw Stop{"no such mode"};
+    Pump();
+  }
+
+  void CheckStore(const Words& w) {
+    auto it = store_.items.find(w.At(2));
+    const bool there = it != store_.items.end();
+    if (w.At(1) == "lacks") {
+      if (there) throw Stop{"it is there"};
+      return;
+    }
+    if (!there) throw Stop{"it is not there"};
+    if (const auto* end = std::get_if<EndRecord>(&it->second.value)) {
+      const std::string is = end->withdrawn ? "withdrawn" : "done";
+      if (!w.At(3).empty() && w.At(3) != is) throw Stop{"it says " + is};
+    }
+  }
+
+  void Elsewhere(const Words& w) {
+    ++store_.epoch;
+    if (w.At(1) == "withdraw") {
+      store_.Put(keys::kEnd + w.At(2), EndRecord{true, 0});
+      store_.Erase(keys::kJob + w.At(2));
+    } else if (w.At(1) == "leads") {
+      const uint64_t term = static_cast<uint64_t>(w.Number("term", 2));
+      store_.Put(keys::kLead, LeadRecord{w.At(2), term}, 1);
+      store_.Put(keys::kTerm, TermRecord{term, w.At(2)});
+    } else if (w.At(1) == "dies") {
+      store_.Erase(keys::kLead);
+    } else if (w.At(1) == "ends-our-lease") {
+      for (uint64_t l : std::set<uint64_t>(store_.live_leases)) store_.EndLease(l);
+    } else if (w.At(1) == "records") {
+      store_.Put(keys::kFleet + w.At(2),
+                 MachineRecord{w.At(2), "e:" + w.At(2), w.Has("big") ? "big" : "box",
+                               w.Text("zone", "a"), w.Has("spot")});
+    } else {
+      throw Stop{"no such event"};
+    }
+    Pump();
+  }
+
+  void SetCloud(const Words& w, const std::string& tail) {
+    const std::string what = w.At(1);
+    if (what == "down") cloud_up_ = false;
+    else if (what == "up") cloud_up_ = true, cloud_silent_ = false;
+    else if (what == "silent") cloud_silent_ = true;
+    else if (what == "rents") rents_ = true;
+    else if (what == "full") rents_ = false;
+    else if (what == "lists") {
+      listed_.clear();
+      for (const std::string& item : Split(tail, ';')) {
+        const Words m(item);
+        ListedMachine l;
+        l.id = m.At(0);
+        l.endpoint = "e:" + l.id;
+        l.type = m.Has("big") ? "big" : "box";
+        l.zone = m.Text("zone", "a");
+        l.spot = m.Has("spot");
+        l.phase = m.Has("running")  ? ListedMachine::Phase::kRunning
+                  : m.Has("failed") ? ListedMachine::Phase::kFailed
+                                    : ListedMachine::Phase::kStarting;
+        l.age = Seconds(m.Number("age", 0));
+        listed_.push_back(l);
+      }
+    } else throw Stop{"no such cloud"};
+    Pump();
+  }
+
+  static void Expect(const std::string& expected, const std::string& got) {
+    if (expected != got) throw Stop{"got: " + got};
+  }
+  void Sees(const std::string& expected) {
+    for (auto it = seen_.begin(); it != seen_.end(); ++it) {
+      if (*it == expected) {
+        seen_.erase(it);
+        return;
+      }
+    }
+    std::string all;
+    for (const std::string& s : seen_) all += "\n    " + s;
+    throw Stop{"it was not among:" + all};
+  }
+  void Unseen(const std::string& start) {
+    for (const std::string& s : seen_) {
+      if (s.compare(0, start.size(), start) == 0) throw Stop{"it was seen: " + s};
+    }
+  }
+
+  PlatformSettings settings_;
+  Options options_;
+  std::unique_ptr<Controller> core_;
+  Micros now_ = Seconds(100);
+  Store store_;
+  std::vector<StateOp> watches_;
+  std::map<std::string, std::deque<DirectOp>> direct_;
+  std::vector<std::string> seen_;
+  std::set<std::string> names_;
+  std::vector<MachineType> types_;
+  std::vector<ListedMachine> listed_;
+  bool cloud_up_ = true, cloud_silent_ = false, rents_ = false;
+  int rented_ = 0;
+  RequestId token_ = 0, checkin_token_ = 0;
+  std::map<std::string, uint64_t> tally_;
+  std::string last_checkin_, last_answer_;
+};
+
+int Run(const char* file) {
+  std::ifstream in(file);
+  if (!in) {
+    std::cerr << file << ": can't be read\n";
+    return 2;
+  }
+  Player player;
+  std::string line;
+  int number = 0, steps = 0;
+  while (std::getline(in, line)) {
+    ++number;
+    const size_t hash = line.find('#');
+    if (hash != std::string::npos) line.resize(hash);
+    const size_t a = line.find_first_not_of(' ');
+    if (a == std::string::npos) continue;
+    line = line.substr(a, line.find_last_not_of(' ') - a + 1);
+    ++steps;
+    try {
+      player.Line(line);
+    } catch (const Stop& stop) {
+      std::cerr << file << ":" << number << ": " << line << "\n  " << stop.what << "\n";
+      return 1;
+    } catch (const std::exception& e) {
+      std::cerr << file << ":" << number << ": " << line << "\n  bad step: " << e.what() << "\n";
+      return 1;
+    }
+  }
+  std::cout << steps << " steps\n";
+  return steps > 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace badgershore
+
+int main(int argc, char** argv) {
+  if (argc != 2) {
+    std::cerr << "trace_runner FILE\n";
+    return 2;
+  }
+  return badgershore::Run(argv[1]);
+}
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,117 @@
+#include <gtest/gtest.h>
+
+#include "peer/messages.h"
+#include "wire/messages.h"
+#include "wire/records.h"
+
+namespace badgershore::wire {
+namespace {
+
+const std::string kJob =
+    R"({"nameId":"job-000412","lane":"train","owner":"vision","shape":"gang","rank":"high","legs":16,
+ "cpus":8.0,"accelerators":1.0,"memGb":64.0,"kit":"img-07","imageGb":6.2,"builds":["g8"],"yard":null,
+ "samePlace":true,"spread":false,"loaners":true,"expectS":240.0,"stashEveryS":30.0,"stashS":4.0,
+ "dueS":900.0,"later":{}})";
+
+std::string With(const std::string& from, const std::string& to) {
+  std::string text = kJob;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+TEST(Submissions, ReadsEveryField) {
+  const Submission s = ParseSubmission(kJob, 5);
+  ASSERT_TRUE(s.spec) << s.reason;
+  EXPECT_EQ(s.id, "job-000412");
+  EXPECT_EQ(s.spec->shape, Shape::kGang);
+  EXPECT_EQ(s.spec->need, (Resources{8000, 1000, 64000}));
+  EXPECT_EQ(s.spec->types->at(0), "g8");
+  EXPECT_FALSE(s.spec->zone);
+  EXPECT_TRUE(s.spec->same_zone);
+  EXPECT_EQ(s.spec->due, Seconds(900));
+  EXPECT_EQ(s.spec->submitted_ms, 5);
+}
+
+TEST(Submissions, RefusesMissingWrongAndOutOfRange) {
+  EXPECT_TRUE(ParseSubmission("nonsense", 0).id.empty());
+  EXPECT_TRUE(ParseSubmission("[]", 0).id.empty());
+  EXPECT_TRUE(ParseSubmission(With("job-000412", "jobb"), 0).id.empty());
+  for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+           {"\"legs\":16", "\"legs\":0"},
+           {"\"legs\":16", "\"legs\":100001"},
+           {"\"legs\":16", "\"legs\":1.5"},
+           {"\"legs\":16,", ""},
+           {"\"cpus\":8.0", "\"cpus\":-1"},
+           {"\"cpus\":8.0", "\"cpus\":\"8\""},
+           {"\"shape\":\"gang\"", "\"shape\":\"heap\""},
+           {"\"rank\":\"high\"", "\"rank\":null"},
+           {"\"builds\":[\"g8\"]", "\"builds\":[1]"},
+           {"\"samePlace\":true", "\"samePlace\":1"},
+           {"\"expectS\":240.0", "\"expectS\":-3"}}) {
+    const Submission s = ParseSubmission(With(from, to), 0);
+    EXPECT_FALSE(s.spec) << to;
+    EXPECT_EQ(s.id, "job-000412") << to;
+    EXPECT_FALSE(s.reason.empty()) << to;
+  }
+}
+
+TEST(Records, JobsComeBackAsTheyWere) {
+  const JobSpec spec = *ParseSubmission(kJob, 77).spec;
+  Writer w;
+  PutRecord(&w, spec);
+  rapidjson::Document doc;
+  ASSERT_TRUE(ParseObject(w.Done(), &doc));
+  const Record back = ReadRecord("job/" + spec.id, doc);
+  EXPECT_EQ(std::get<JobSpec>(back), spec);
+}
+
+TEST(Workers, ReadsReportsAndWritesOrders) {
+  const auto r = ParseReport(
+      R"({"sett":"n-1","endpoint":"10.1.0.2:9","build":"g8","yard":"a","loaners":true,"tenure":2,
+ "tally":88,"baton":41,"recallS":12.5,"legs":[{"leg":"job-1/3","try":2,"phase":"running"},
+ {"leg":"job-2/0","try":9007199254740991,"phase":"exited","cause":"done"},{"leg":"odd"}]})");
+  ASSERT_TRUE(r);
+  EXPECT_EQ(r->session, 2u);
+  EXPECT_EQ(r->notice, Millis(12500));
+  ASSERT_EQ(r->tasks.size(), 2u);
+  EXPECT_EQ(r->tasks[1].attempt, 9007199254740991u);
+  EXPECT_EQ(r->tasks[1].cause, ExitCause::kDone);
+  EXPECT_FALSE(ParseReport("{}"));
+  CheckinAnswer a;
+  a.status = 200;
+  a.baton = 7;
+  a.orders = {{Order::Verb::kHalt, {"job-1", 3}, 2, Seconds(10)}};
+  EXPECT_EQ(FormatCheckinAnswer(a),
+            R"({"baton":7,"orders":[{"verb":"halt","leg":"job-1/3","try":2,"windDownS":10.0}]})");
+}
+
+TEST(State, ReadsChangesAndFailures) {
+  StateReply r;
+  ASSERT_TRUE(ParseChanges(
+      R"({"epoch":9,"log":[{"put":"end/job-1","value":{"end":"withdrawn","tasks":0},"stamp":8},
+ {"delete":"job/job-1","stamp":9}]})",
+      &r));
+  EXPECT_EQ(r.epoch, 9u);
+  EXPECT_TRUE(std::get<EndRecord>(r.entries[0].value).withdrawn);
+  EXPECT_TRUE(r.entries[1].erased);
+  StateReply c;
+  ASSERT_TRUE(ParseCommit(R"({"failed":["ctl/term"],"epoch":3})", &c));
+  EXPECT_EQ(c.failed[0], "ctl/term");
+}
+
+TEST(Peers, NotesComeBackAndNoiseDoesNot) {
+  PeerNote note{"m-1", 7, "m-2", true, {{"job-1", 3, 4}}};
+  const std::string frame = peer::Encode(note);
+  const auto size = peer::BodySize(frame);
+  ASSERT_TRUE(size);
+  EXPECT_EQ(*size, frame.size() - 4);
+  const auto back = peer::Decode(std::string_view(frame).substr(4));
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->leader, "m-2");
+  EXPECT_EQ(back->jobs[0].running, 4);
+  EXPECT_FALSE(peer::Decode(std::string_view(frame).substr(4, *size / 2)));
+  EXPECT_FALSE(peer::BodySize(std::string("\xff\xff\xff\xff", 4)));
+}
+
+}  // namespace
+}  // namespace badgershore::wire
