A whole site in one command: badgershore-rehearse up, and nights in real time

Need: a new user has no site to try; and simulated time leaves sockets, processes and the disk out. Nights are read in config/. Simulated users choose nodes by the same balancer.

--- a/src/rehearsal/night.cpp
+++ b/src/config/night.cpp
@@ -1,14 +1,12 @@
-#include "rehearsal/night.h"
+#include "config/night.h"
 
 #include <algorithm>
 
 #include "config/yaml.h"
 
-namespace badgershore::rehearsal {
+namespace badgershore::config {
 namespace {
 
-using config::YamlMap;
-
 int64_t Milli(YamlMap* m, const char* key, double otherwise) {
   return std::llround(m->Number(key, 0, 1e6, otherwise) * 1000);
 }
@@ -137,4 +135,4 @@
   return n;
 }
 
-}  // namespace badgershore::rehearsal
+}  // namespace badgershore::config
--- a/src/rehearsal/night.h
+++ b/src/config/night.h
@@ -6,7 +6,7 @@
 
 #include "core/types.h"
 
-namespace badgershore::rehearsal {
+namespace badgershore::config {
 
 struct NightType {
   MachineType type;
@@ -61,4 +61,4 @@
 // A config::Error names file, line and what was expected.
 Night LoadNight(const std::string& file);
 
-}  // namespace badgershore::rehearsal
+}  // namespace badgershore::config
--- a/src/programs/rehearse.cpp
+++ b/src/programs/rehearse.cpp
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -10,15 +11,16 @@
 #include <thread>
 
 #include "config/config.h"
+#include "io/mailbox.h"
 #include "programs/common.h"
-#include "rehearsal/world.h"
+#include "rehearsal/site.h"
 #include "store/disk/archive.h"
 #include "wire/json.h"
 
 namespace {
 
 using namespace badgershore;
-using rehearsal::Night;
+using config::Night;
 using rehearsal::Result;
 
 std::string g_nights = "nights";
@@ -53,9 +55,9 @@
   return v[std::min(v.size() - 1, static_cast<size_t>(q * static_cast<double>(v.size())))];
 }
 
-std::string Json(const Night& night, const Result& r, double wall_s) {
+std::string Json(const Night& night, const Result& r, double wall_s, const char* time) {
   wire::Writer w;
-  w.Begin().Put("night", r.night).Put("seed", r.seed).Put("time", "simulated");
+  w.Begin().Put("night", r.night).Put("seed", r.seed).Put("time", time);
   w.Key("jobs").Begin().Put("done", r.done).Put("withdrawn", r.withdrawn).Put("open", r.open).End();
   w.Put("final_states_sha256", FinalSha(night, r));
   w.Put("history_sha256", store::Sha256(r.history));
@@ -99,15 +101,109 @@
 
 std::string Read(const std::string& file) { return config::ReadFile(file); }
 
-int RunNight(const std::string& file, uint64_t seed, const std::string& json,
+// The folder that this program is in has the others too.
+std::string ProgramFolder() {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+}
+
+std::string TemporaryFolder() {
+  std::string name = (std::filesystem::temp_directory_path() / "badgershore-XXXXXX").string();
+  if (!::mkdtemp(name.data())) throw config::Error(name + ": can't be made");
+  return name;
+}
+
+void CheckPlayable(const Night& night, const std::string& file) {
+  using Kind = config::Trouble::Kind;
+  for (const auto& t : night.troubles) {
+    if (t.kind == Kind::kStateDown || t.kind == Kind::kStateMute || t.kind == Kind::kStateLate ||
+        t.kind == Kind::kDiskFull || t.kind == Kind::kCut) {
+      throw config::Error(file + ": the trouble at " + std::to_string(t.at.ToSeconds()) +
+                          " s can be played in simulated time only");
+    }
+  }
+}
+
+// Real processes on loopback, in real time.
+Result PlayReal(const Night& night, const std::string& file, uint64_t seed, double* wall_s) {
+  CheckPlayable(night, file);
+  const std::string dir = TemporaryFolder();
+  Result result;
+  std::string error;
+  {
+    io::Loop loop;
+    rehearsal::Site site(&loop, night, {ProgramFolder(), dir, "127.0.0.1:0", seed});
+    const Micros start = io::Loop::Now();
+    if (!site.Start([&] { loop.Stop(); }, &error)) throw config::Error(error);
+    bool interrupted = false;
+    io::OnEndSignals(&loop, [&] {
+      interrupted = true;
+      site.Stop();
+    });
+    loop.Run();
+    *wall_s = (io::Loop::Now() - start).ToSeconds();
+    result = site.world().End();
+    if (interrupted) std::fprintf(stderr, "interrupted\n");
+  }
+  std::filesystem::remove_all(dir);
+  return result;
+}
+
+io::Task<void> Show(io::Loop* loop, rehearsal::Site* site, bool tty) {
+  while (!site->ready()) co_await loop->Sleep(Millis(50));
+  std::printf(
+      "badgershore is up: http://%s\n"
+      "try: curl -X POST http://%s/work -d '{\"nameId\":\"job-1\",\"lane\":\"try\",\"owner\":"
+      "\"settlement\",\"shape\":\"array\",\"rank\":\"normal\",\"legs\":6,\"cpus\":1,\"memGb\":1,"
+      "\"kit\":\"img\",\"imageGb\":1,\"expectS\":5}'\n"
+      "     curl http://%s/work/job-1\n"
+      "Ctrl-C ends all of it\n",
+      site->address().c_str(), site->address().c_str(), site->address().c_str());
+  std::fflush(stdout);
+  rehearsal::Site::Counts shown;
+  shown.live = -1;
+  while (tty) {
+    const rehearsal::Site::Counts now = co_await site->Count();
+    if (!(now == shown)) {
+      shown = now;
+      std::printf("jobs: %d live, %d over; machines: %d up, %d starting\n", now.live, now.over,
+                  now.up, now.starting);
+      std::fflush(stdout);
+    }
+    co_await loop->Sleep(Seconds(1));
+  }
+}
+
+int Up(const std::string& file, const std::string& listen, const std::string& data) {
+  const Night night = config::LoadNight(file);
+  const std::string dir = data.empty() ? TemporaryFolder() : data;
+  int code = 0;
+  {
+    io::Loop loop;
+    rehearsal::Site site(&loop, night, {ProgramFolder(), dir, listen, 1});
+    std::string error;
+    if (!site.Start([&] { loop.Stop(); }, &error)) {
+      std::fprintf(stderr, "badgershore-rehearse: %s\n", error.c_str());
+      code = 1;
+    } else {
+      io::OnEndSignals(&loop, [&] { site.Stop(); });
+      io::Spawn(Show(&loop, &site, ::isatty(STDOUT_FILENO) == 1));
+      loop.Run();
+    }
+  }
+  if (data.empty()) std::filesystem::remove_all(dir);
+  return code;
+}
+
+int RunNight(const std::string& file, uint64_t seed, bool real, const std::string& json,
              const std::string& evidence) {
-  const Night night = rehearsal::LoadNight(file);
+  const Night night = config::LoadNight(file);
   double wall_s = 0;
-  const Result r = Play(night, seed, &wall_s);
+  const char* time = real ? "real" : "simulated";
+  const Result r = real ? PlayReal(night, file, seed, &wall_s) : Play(night, seed, &wall_s);
   Print(night, r, wall_s);
   if (!json.empty()) {
     std::ofstream out(json);
-    out << Json(night, r, wall_s) << "\n";
+    out << Json(night, r, wall_s, time) << "\n";
     if (!out.flush()) throw config::Error(json + ": can't be written");
   }
   if (!evidence.empty()) {
@@ -116,7 +212,7 @@
     out.Add("history.txt", r.history);
     out.Add("log.txt", r.log);
     out.Add("final-states.txt", FinalText(r));
-    out.Add("result.json", Json(night, r, wall_s) + "\n");
+    out.Add("result.json", Json(night, r, wall_s, time) + "\n");
     out.Finish();
   }
   return r.clean() ? 0 : 1;
@@ -147,7 +243,7 @@
   }
   const uint64_t last = std::strtoull(seeds.c_str() + dots + 2, &end, 10);
   if (*end != '\0' || last < first) throw config::Error("--seeds: expected A..B");
-  const Night night = rehearsal::LoadNight(file);
+  const Night night = config::LoadNight(file);
   std::atomic<uint64_t> next{first}, played{0};
   std::atomic<bool> stop{false};
   std::mutex mutex;
@@ -201,6 +297,7 @@
   app.set_version_flag("--version", std::string("badgershore-rehearse ") + BADGERSHORE_VERSION);
   app.require_subcommand(1);
   std::string name, json, evidence, seeds = "1..50", log_format = "text";
+  std::string time = "simulated", listen = "127.0.0.1:0", data;
   uint64_t seed = 1;
   int jobs = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
   programs::AddLogFormat(&app, &log_format);
@@ -215,6 +312,14 @@
   run->add_option("--seed", seed, "All chance comes from it")->capture_default_str();
   run->add_option("--json", json, "Write the result there");
   run->add_option("--evidence", evidence, "Write night, logs, history and final states (tar.zst)");
+  run->add_option("--time", time, "simulated, or real: processes on loopback")
+      ->check(CLI::IsMember({"simulated", "real"}))
+      ->capture_default_str();
+  CLI::App* up = verb("up", "Start a whole site on loopback, until Ctrl-C");
+  up->add_option("night", name, "The site, as a night; else the kept one named up");
+  up->add_option("--listen", listen, "The users' address; port 0 takes a free one")
+      ->capture_default_str();
+  up->add_option("--data", data, "Keep settings, state and logs there; else they go at the end");
   CLI::App* explore = verb("explore", "Play a night with many seeds; stop at a broken rule");
   explore->add_option("night", name, "A kept night's name, or a file")->required();
   explore->add_option("--seeds", seeds, "A..B")->capture_default_str();
@@ -224,6 +329,7 @@
   check->add_option("night", name, "A kept night's name, or a file")->required();
   if (const int code = programs::Parse(&app, argc, argv); code >= 0) return code;
   if (!programs::SetUpLog("badgershore-rehearse", log_format)) return programs::kBadInput;
+  std::signal(SIGPIPE, SIG_IGN);
   try {
     if (*list) {
       std::vector<std::string> files;
@@ -232,15 +338,16 @@
       }
       std::sort(files.begin(), files.end());
       for (const std::string& f : files) {
-        const Night night = rehearsal::LoadNight(f);
+        const Night night = config::LoadNight(f);
         std::printf("%-28s %s\n", night.name.c_str(), night.about.c_str());
       }
       return 0;
     }
+    if (*up) return Up(FileOf(name.empty() ? "up" : name), listen, data);
     const std::string file = FileOf(name);
-    if (*run) return RunNight(file, seed, json, evidence);
+    if (*run) return RunNight(file, seed, time == "real", json, evidence);
     if (*explore) return Explore(file, seeds, jobs);
-    const Night night = rehearsal::LoadNight(file);
+    const Night night = config::LoadNight(file);
     std::printf("%s is good: %zu classes, %zu troubles\n", night.name.c_str(), night.classes.size(),
                 night.troubles.size());
     return 0;
--- a/src/rehearsal/checker.cpp
+++ b/src/rehearsal/checker.cpp
@@ -50,7 +50,8 @@
   if (m.spot && !f.spot_ok) Say(e, "wrong_place", task + " on a spot machine");
   if (!f.zone.empty() && f.zone != m.zone) Say(e, "wrong_place", task + " in zone " + m.zone);
   int there = 1;
-  for (const Place& p : PlacesOf(*job)) {
+  // Looked at only where it matters: a large job's tasks are many.
+  for (const Place& p : f.same_zone || f.spread ? PlacesOf(*job) : std::vector<Place>()) {
     if (f.same_zone && p.zone != m.zone) Say(e, "wrong_place", task + " apart in " + m.zone);
     there += p.zone == m.zone;
   }
--- a/src/rehearsal/cloud.cpp
+++ b/src/rehearsal/cloud.cpp
@@ -21,7 +21,8 @@
 std::string Cloud::Add(Micros now, const NightType& type, const std::string& zone, bool spot) {
   char id[24];
   std::snprintf(id, sizeof(id), "n-%06d", ++next_);
-  machines_[id] = {id, type.type.name, zone, spot, now, kNever, kNever, kNever};
+  machines_[id] = {id,     type.type.name, zone,  hooks_.endpoint(id), spot, now,
+                   kNever, kNever,         kNever};
   return id;
 }
 
@@ -88,7 +89,11 @@
       truncated = true;
       break;
     }
-    w.Begin().Put("nameId", m.id).Put("endpoint", m.id).Put("build", m.type).Put("yard", m.zone);
+    w.Begin()
+        .Put("nameId", m.id)
+        .Put("endpoint", m.endpoint)
+        .Put("build", m.type)
+        .Put("yard", m.zone);
     w.Put("loaners", m.spot)
         .Put("phase", m.failed <= seen ? "failed"
                       : m.up <= seen   ? "running"
--- a/src/rehearsal/cloud.h
+++ b/src/rehearsal/cloud.h
@@ -8,16 +8,19 @@
 #include <string>
 #include <vector>
 
-#include "rehearsal/night.h"
+#include "config/night.h"
 #include "store/limits.h"
 #include "wire/messages.h"
 
 namespace badgershore::rehearsal {
 
+using config::Night;
+using config::NightType;
+
 class Cloud {
  public:
   struct Machine {
-    std::string id, type, zone;
+    std::string id, type, zone, endpoint;
     bool spot = false;
     Micros asked, up = kNever, failed = kNever, gone = kNever;
   };
@@ -25,6 +28,7 @@
     std::function<void(Micros at, std::function<void()>)> later;
     std::function<void(const Machine&)> up;
     std::function<void(const Machine&)> gone;
+    std::function<std::string(const std::string& id)> endpoint;
   };
   Cloud(const Night& night, uint64_t seed, Hooks hooks);
 
--- /dev/null
+++ b/src/rehearsal/site.cpp
@@ -0,0 +1,194 @@
+#include "rehearsal/site.h"
+
+#include <filesystem>
+#include <fstream>
+
+#include "wire/json.h"
+#include "wire/records.h"
+
+namespace badgershore::rehearsal {
+namespace {
+
+constexpr Micros kStep = Millis(5);
+constexpr http::Limits kLimits{8 * 1024, 16 * 1024, 4 * 1024 * 1024};
+
+std::vector<std::string> Addresses(size_t n) {
+  std::vector<std::string> out;
+  for (size_t i = 0; i < n; ++i) out.push_back(site::FreeAddress());
+  return out;
+}
+
+}  // namespace
+
+Site::Site(io::Loop* loop, const Night& night, SiteOptions options)
+    : loop_(loop),
+      night_(night),
+      options_(std::move(options)),
+      state_addr_(site::FreeAddress()),
+      cloud_addr_(site::FreeAddress()),
+      nodes_(Addresses(3)),
+      backs_(Addresses(3)),
+      cloud_(
+          loop, [this](http::Message m) { return Serve("cloud", std::move(m)); }, 256),
+      relay_(loop, nodes_),
+      processes_(loop, Commands()),
+      world_(night_, options_.seed, this) {}
+
+std::string Site::Settings(size_t node) const {
+  const PlatformSettings& s = night_.site;
+  wire::Writer w;
+  w.Begin().Put("member", "node-" + std::to_string(node)).Put("site", s.zones[0]);
+  w.Put("client_listen", nodes_[node]).Put("back", backs_[node]).Key("members").BeginList();
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (i == node) continue;
+    w.Begin().Put("member", "node-" + std::to_string(i)).Put("site", s.zones[0]);
+    w.Put("addr", backs_[i]).End();
+  }
+  w.EndList().Key("external").Begin().Put("cloud", cloud_addr_).Put("state", state_addr_).End();
+  w.Key("params").Begin().Key("zones").BeginList();
+  for (const std::string& z : s.zones) w.Str(z);
+  w.EndList().Key("teams").BeginList();
+  for (const Team& t : s.teams) {
+    w.Begin().Put("name", t.name).Put("cpus", static_cast<double>(t.guarantee.cpu) / 1000);
+    w.Put("cpus_max", static_cast<double>(t.limit.cpu) / 1000).End();
+  }
+  w.EndList().Key("objectives").BeginList();
+  for (const Objective& o : s.objectives) {
+    w.Begin().Put("kind", o.kind).Put("class", o.lane).Put("within_s", o.within.ToSeconds());
+    w.Put("share", o.share).End();
+  }
+  w.EndList().Key("workers").Begin().Put("report_s", s.report_every.ToSeconds());
+  w.Put("lease_s", s.worker_lease.ToSeconds()).Put("gang_wait_s", s.gang_wait.ToSeconds());
+  w.Put("gang_peer_s", s.gang_peer.ToSeconds()).Put("cancel_s", s.cancel_within.ToSeconds()).End();
+  w.Key("state").Begin().Put("rps", s.state_rps).Put("write_rps", s.state_write_rps);
+  w.Put("value_kb", s.state_value_kb).Put("txn_ops", s.state_txn_ops).End();
+  w.Key("cloud").Begin().Put("rps", s.cloud_rps);
+  w.Put("list_lag_s", s.cloud_list_lag.ToSeconds()).End();
+  w.Key("quota").Begin().Put("mem_mb", 64).Put("max_connections", 2000).End();
+  return w.End().End().Done();
+}
+
+std::vector<site::Command> Site::Commands() {
+  const std::string& dir = options_.dir;
+  std::filesystem::create_directories(dir);
+  const PlatformSettings& s = night_.site;
+  std::ofstream(dir + "/state.yaml")
+      << "limits:\n  rps: " << s.state_rps << "\n  write_rps: " << s.state_write_rps
+      << "\n  value_kb: " << s.state_value_kb << "\n  txn_ops: " << s.state_txn_ops << "\n";
+  std::vector<site::Command> out;
+  out.push_back({"badgershore-state",
+                 {options_.programs + "/badgershore-state", "serve", "--data", dir + "/state",
+                  "--listen", state_addr_, "--options", dir + "/state.yaml"},
+                 dir + "/state.log",
+                 0});
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    const std::string name = "node-" + std::to_string(i);
+    std::ofstream(dir + "/" + name + ".json") << Settings(i);
+    out.push_back({name,
+                   {options_.programs + "/badgershore", "--config", dir + "/" + name + ".json"},
+                   dir + "/" + name + ".log",
+                   1});
+  }
+  return out;
+}
+
+bool Site::Start(std::function<void()> over, std::string* error) {
+  if (!cloud_.Start(cloud_addr_, error) || !relay_.Start(options_.listen, error)) return false;
+  processes_.Start(std::move(over));
+  world_.Begin(io::Loop::Now());
+  io::Spawn(Drive());
+  return true;
+}
+
+void Site::Stop() {
+  stopping_ = true;
+  processes_.Stop();
+}
+
+io::Task<void> Site::Drive() {
+  while (!stopping_) {
+    world_.RunUntil(io::Loop::Now());
+    if (world_.over()) {
+      Stop();
+      co_return;
+    }
+    co_await loop_->Sleep(kStep);
+  }
+}
+
+io::Task<http::ServerAnswer> Site::Serve(std::string host, http::Message m) {
+  io::Slot<std::pair<int, std::string>> slot(loop_);
+  wire::Call call{m.method, m.target, m.body, Seconds(5)};
+  world_.RunUntil(io::Loop::Now());
+  // The slot may be gone when the answer comes: then nobody is told.
+  auto alive = std::make_shared<bool>(true);
+  world_.Receive(host, std::move(call), [&slot, alive](int status, const std::string& body) {
+    if (*alive) slot.Set({status, body});
+  });
+  const auto answer = co_await slot.Wait(io::Loop::Now() + Seconds(5));
+  *alive = false;
+  http::ServerAnswer out;
+  out.hang_up = !answer || answer->first <= 0;
+  if (answer) out = {answer->first, answer->second, 0, out.hang_up};
+  co_return out;
+}
+
+std::string Site::OpenMachine(const std::string& id) {
+  auto& server = machines_[id] = std::make_unique<http::Server>(
+      loop_, [this, id](http::Message m) { return Serve(id, std::move(m)); }, 16);
+  std::string error;
+  return server->Start("127.0.0.1:0", &error) ? server->address() : "127.0.0.1:1";
+}
+
+// Its socket stays open and silent, as a machine that is gone would be.
+void Site::CloseMachine(const std::string&) {}
+
+io::Task<void> Site::Call(std::string addr, wire::Call call, Reply reply) {
+  http::Client client(loop_, addr, 0, kLimits);
+  const http::ClientAnswer a = co_await client.Request(
+      std::move(call.method), std::move(call.target), std::move(call.body), call.timeout);
+  world_.RunUntil(io::Loop::Now());
+  const bool sent = a.outcome != http::ClientAnswer::Outcome::kNotSent;
+  reply(a.answered() ? a.status : sent ? 0 : -1, a.body);
+}
+
+void Site::CallNode(size_t node, const wire::Call& call, Reply reply) {
+  io::Spawn(Call(nodes_[node], call, std::move(reply)));
+}
+
+void Site::Describe(const std::string& job, std::function<void(std::optional<JobSpec>)> then) {
+  wire::Call call{"GET", "/store/" + keys::kJob + job, "", Seconds(4)};
+  const std::string key = keys::kJob + job;
+  io::Spawn(Call(state_addr_, std::move(call),
+                 [key, then = std::move(then)](int status, const std::string& body) {
+                   rapidjson::Document doc;
+                   const wire::Value* value = nullptr;
+                   if (status == 200 && wire::ParseObject(body, &doc)) {
+                     value = wire::Find(doc, "value");
+                   }
+                   const Record record = value ? wire::ReadRecord(key, *value) : Record();
+                   const JobSpec* spec = std::get_if<JobSpec>(&record);
+                   then(spec ? std::optional<JobSpec>(*spec) : std::nullopt);
+                 }));
+}
+
+io::Task<Site::Counts> Site::Count() {
+  Counts out;
+  for (const auto& [id, m] : world_.cloud().machines()) {
+    if (m.gone < kNever || m.failed < kNever) continue;
+    ++(m.up < kNever ? out.up : out.starting);
+  }
+  http::Client client(loop_, state_addr_, 0, kLimits);
+  for (const std::string& prefix : {keys::kJob, keys::kEnd}) {
+    std::string target = "/store?limit=1000&starts=" + prefix;
+    const http::ClientAnswer a = co_await client.Request("GET", std::move(target), "", Seconds(2));
+    rapidjson::Document doc;
+    if (!a.answered() || !wire::ParseObject(a.body, &doc)) continue;
+    const wire::Value* entries = wire::Find(doc, "entries");
+    const int n = entries && entries->IsArray() ? static_cast<int>(entries->Size()) : 0;
+    (prefix == keys::kJob ? out.live : out.over) = n;
+  }
+  co_return out;
+}
+
+}  // namespace badgershore::rehearsal
--- a/src/rehearsal/users.cpp
+++ b/src/rehearsal/users.cpp
@@ -74,15 +74,19 @@
   }
 }
 
-// As the load balancer does, roughly: one of the nodes that call themselves healthy.
+void World::ProbeNode(size_t index) {
+  wire::Call call{"GET", "/healthz", "", Seconds(1)};
+  Send("users", "node-" + std::to_string(index), std::move(call),
+       [this, index](int status, const std::string&) {
+         balancer_.OnProbe(now_, index, status == 200);
+       });
+  Later(now_ + Seconds(1), [this, index] { ProbeNode(index); });
+}
+
+// Where the load balancer sends a new connection; anywhere while nobody is healthy.
 std::string World::PickNode() {
-  std::vector<size_t> healthy;
-  for (size_t i = 0; i < nodes_.size(); ++i) {
-    if (nodes_[i].core && nodes_[i].core->Healthy(now_)) healthy.push_back(i);
-  }
-  const size_t pick =
-      healthy.empty() ? random_() % nodes_.size() : healthy[random_() % healthy.size()];
-  return "node-" + std::to_string(pick);
+  const std::vector<size_t> order = balancer_.Order(now_, random_());
+  return "node-" + std::to_string(order.empty() ? random_() % nodes_.size() : order.front());
 }
 
 void World::Submit(const std::string& job, Micros first, int tries) {
--- a/src/rehearsal/work.h
+++ b/src/rehearsal/work.h
@@ -9,10 +9,12 @@
 #include <string>
 
 #include "agent/core/agent.h"
-#include "rehearsal/night.h"
+#include "config/night.h"
 
 namespace badgershore::rehearsal {
 
+using config::Night;
+
 using agent::TaskKey;
 
 class Work {
--- a/src/rehearsal/world.cpp
+++ b/src/rehearsal/world.cpp
@@ -24,15 +24,17 @@
 
 }  // namespace
 
-World::World(const Night& night, uint64_t seed)
+World::World(const Night& night, uint64_t seed, Outside* outside)
     : night_(night),
+      outside_(outside),
       random_(seed),
       seed_(seed),
       now_(Seconds(1)),
       cloud_(night, random_(),
              {[this](Micros at, std::function<void()> f) { Later(at, std::move(f)); },
               [this](const Cloud::Machine& m) { MachineUp(m); },
-              [this](const Cloud::Machine& m) { MachineGone(m.id); }}),
+              [this](const Cloud::Machine& m) { MachineGone(m.id); },
+              [this](const std::string& id) { return outside_ ? outside_->OpenMachine(id) : id; }}),
       work_(night, random_(),
             {[this] { return now_; },
              [this](Micros at, std::function<void()> f) { Later(at, std::move(f)); },
@@ -132,6 +134,12 @@
 
 // A caller that has given up does not keep its request from being carried out.
 void World::Serve(uint64_t id, const std::string& to, const wire::Call& call) {
+  if (IsNode(to) && outside_) {
+    return outside_->CallNode(NodeIndex(to), call, [this, id](int status, const std::string& body) {
+      if (status == kNoAnswer) return;  // its caller's patience tells
+      Respond(id, status, body);
+    });
+  }
   if (IsNode(to)) return ServeNode(NodeIndex(to), id, call);
   if (to == kState) return ServeState(id, call);
   if (to == kCloud) {
@@ -163,8 +171,9 @@
 
 void World::KillNode(size_t index, Micros back_after) {
   Node& n = nodes_[index];
-  if (!n.core) return;
+  if (!n.core && !outside_) return;
   Note("ends " + NodeName(index));
+  if (outside_) return outside_->KillNode(index, back_after);
   n.core.reset();
   ++n.life;
   for (auto& [id, p] : pending_) {  // its connections are reset
@@ -175,6 +184,7 @@
 }
 
 int World::Leader() const {
+  if (outside_) return seen_leader_;
   for (size_t i = 0; i < nodes_.size(); ++i) {
     if (nodes_[i].core && nodes_[i].core->leads()) return static_cast<int>(i);
   }
@@ -287,6 +297,7 @@
 void World::ServeNode(size_t index, uint64_t id, const wire::Call& call) {
   Node& n = nodes_[index];
   if (!n.core) return Respond(id, kNotSent, "");
+  if (call.target == "/healthz") return Respond(id, n.core->Healthy(now_) ? 200 : 503, "{}");
   const RequestId token = ++n.next_token;
   n.callers[token] = id;
   if (call.target == "/checkin") {
@@ -368,6 +379,7 @@
 }
 
 void World::RestartState(Micros span) {
+  if (outside_) return outside_->RestartState(span);
   if (!state_) return;
   disk_ = state_->image();
   // What was being written may or may not have reached the disk.
@@ -387,7 +399,7 @@
 
 void World::MachineUp(const Cloud::Machine& m) {
   Worker& w = workers_[m.id];
-  w.record = {m.id, m.id, m.type, m.zone, m.spot};
+  w.record = {m.id, m.endpoint, m.type, m.zone, m.spot};
   agent::Settings s;
   s.machine = w.record;
   for (const NightType& t : night_.types) {
@@ -419,6 +431,7 @@
     work_.Kill(task);
   }
   workers_.erase(id);
+  if (outside_) outside_->CloseMachine(id);
   Event e;
   e.kind = Event::Kind::kMachineGone;
   e.machine = id;
@@ -453,13 +466,24 @@
         wire::Call call{"POST", "/checkin", wire::FormatReport(c.report), Seconds(4)};
         Send(
             id, NodeName(c.controller), std::move(call),
-            [this, alive, report = c.report_id](int status, const std::string& body) {
+            [this, alive, report = c.report_id, to = c.controller](int status,
+                                                                   const std::string& body) {
+              if (status == 200) seen_leader_ = static_cast<int>(to);
               const CheckinAnswer a = wire::ParseCheckinAnswer(std::max(status, 0), body);
               alive([this, report, a](agent::Agent* agent) { agent->OnAnswer(now_, report, a); })();
             });
         break;
       }
       case Kind::kDescribe:
+        if (outside_ && !work_.Find(c.text)) {  // not one of the night's: someone else's job
+          outside_->Describe(c.text, [this, alive, job = c.text](std::optional<JobSpec> spec) {
+            if (spec && !work_.Find(job)) work_.AddJob(*spec, spec->estimate);
+            alive([this, job, spec](agent::Agent* agent) {
+              agent->OnDescription(now_, job, spec);
+            })();
+          });
+          break;
+        }
         Later(now_ + Millis(5), alive([this, job = c.text](agent::Agent* agent) {
                 const JobSpec* spec = work_.Find(job);
                 agent->OnDescription(now_, job,
@@ -529,7 +553,7 @@
 
 // ---- The night ----
 
-void World::Begin(const Trouble& t) {
+void World::Strike(const Trouble& t) {
   using Kind = Trouble::Kind;
   const auto until = [&](std::function<void()> then) { Later(now_ + t.span, std::move(then)); };
   const auto each_machine = [&](auto then) {
@@ -610,28 +634,52 @@
   }
 }
 
-Result World::Run() {
+void World::Begin(Micros now) {
+  now_ = start_ = now;
   result_.night = night_.name;
   result_.seed = seed_;
-  StartState();
-  for (size_t i = 0; i < nodes_.size(); ++i) StartNode(i);
+  if (!outside_) {
+    StartState();
+    for (size_t i = 0; i < nodes_.size(); ++i) StartNode(i);
+  }
+  for (size_t i = 0; i < nodes_.size(); ++i) ProbeNode(i);
   cloud_.Begin(now_);
   PlanJobs();
   Later(now_ + Seconds(7), [this] { AskUnknown(); });
-  const Micros start = now_;
-  for (const Trouble& t : night_.troubles) Later(start + t.at, [this, t] { Begin(t); });
-  const Micros arrivals_end = start + night_.duration, end = arrivals_end + night_.settle;
-  while (!queue_.empty() && queue_.top().at <= end) {
+  for (const Trouble& t : night_.troubles) Later(now_ + t.at, [this, t] { Strike(t); });
+}
+
+void World::RunUntil(Micros now) {
+  while (!queue_.empty() && queue_.top().at <= now) {
     now_ = queue_.top().at;
     auto then = std::move(const_cast<Later_&>(queue_.top()).then);
     queue_.pop();
     then();
-    if (now_ < arrivals_end) continue;
-    const bool over = std::all_of(jobs_.begin(), jobs_.end(), [](const auto& j) {
-      return j.second.gave_up || (j.second.final && j.second.rechecked);
-    });
-    if (over) break;
   }
+  now_ = std::max(now_, now);
+}
+
+void World::Receive(const std::string& to, wire::Call call, Reply reply) {
+  const uint64_t id = ++next_call_;
+  pending_[id] = {"outside", to, 0, std::move(reply)};
+  Serve(id, to, call);
+}
+
+bool World::over() const {
+  if (now_ < start_ + night_.duration) return false;
+  if (now_ > start_ + night_.duration + night_.settle) return true;
+  return std::all_of(jobs_.begin(), jobs_.end(), [](const auto& j) {
+    return j.second.gave_up || (j.second.final && j.second.rechecked);
+  });
+}
+
+Result World::Run() {
+  Begin(Seconds(1));
+  while (!over() && !queue_.empty()) RunUntil(queue_.top().at);
+  return End();
+}
+
+Result World::End() {
   checker_.End(now_.count);
   result_.broken = checker_.broken();
   result_.final_states = checker_.FinalStates();
@@ -648,7 +696,7 @@
   }
   const double useful = work_.useful_cpu_s() / 3600 * cheapest;
   result_.price = useful > 0 ? cloud_.Spent(now_) / useful : 0;
-  result_.simulated_s = (now_ - start).ToSeconds();
+  result_.simulated_s = (now_ - start_).ToSeconds();
   return std::move(result_);
 }
 
--- a/src/rehearsal/world.h
+++ b/src/rehearsal/world.h
@@ -11,10 +11,15 @@
 #include "rehearsal/cloud.h"
 #include "rehearsal/history.h"
 #include "rehearsal/work.h"
+#include "site/core/balance.h"
 #include "store/machine.h"
 
 namespace badgershore::rehearsal {
 
+using config::NightClass;
+using config::Trouble;
+using config::Withdrawal;
+
 struct Result {
   std::string night;
   uint64_t seed = 0;
@@ -27,13 +32,39 @@
   bool clean() const { return broken.empty() && open == 0; }
 };
 
+// Real controllers and a real state service, where the night is played in real time.
+class Outside {
+ public:
+  using Reply = std::function<void(int status, const std::string& body)>;
+  virtual ~Outside() = default;
+  // Where the machine is called; its calls come in by World::Receive.
+  virtual std::string OpenMachine(const std::string& id) = 0;
+  virtual void CloseMachine(const std::string& id) = 0;
+  virtual void CallNode(size_t node, const wire::Call& call, Reply reply) = 0;
+  virtual void Describe(const std::string& job,
+                        std::function<void(std::optional<JobSpec>)> then) = 0;
+  virtual void KillNode(size_t node, Micros back_after) = 0;
+  virtual void RestartState(Micros back_after) = 0;
+};
+
 class World {
  public:
-  World(const Night& night, uint64_t seed);
+  World(const Night& night, uint64_t seed, Outside* outside = nullptr);
+  // The whole night in simulated time.
   Result Run();
 
+  // In real time: Begin, then RunUntil at NextAt at the latest, until over.
+  void Begin(Micros now);
+  void RunUntil(Micros now);
+  Micros NextAt() const { return queue_.empty() ? kNever : queue_.top().at; }
+  bool over() const;
+  Result End();
+  // A call from outside to the cloud or a machine.
+  void Receive(const std::string& to, wire::Call call, Outside::Reply reply);
+  const Cloud& cloud() const { return cloud_; }
+
  private:
-  using Reply = std::function<void(int status, const std::string& body)>;
+  using Reply = Outside::Reply;
   // Instead of a status: nobody listens there; no answer came.
   static constexpr int kNotSent = -1, kNoAnswer = 0;
 
@@ -83,8 +114,9 @@
   void Withdraw(const std::string& job);
   void AskUnknown();
   std::string PickNode();
+  void ProbeNode(size_t index);
 
-  void Begin(const Trouble& t);
+  void Strike(const Trouble& t);
   void See(Event e);
   void Note(const std::string& text);
 
@@ -127,6 +159,7 @@
   };
 
   const Night& night_;
+  Outside* outside_;
   std::mt19937_64 random_;
   uint64_t seed_;
   Micros now_;
@@ -148,6 +181,9 @@
   double mute_share_ = 0, late_share_ = 0;
   Micros late_until_;
 
+  site::Balancer balancer_{3};
+  int seen_leader_ = -1;  // who last took a report, where the cores are not here
+  Micros start_;
   Cloud cloud_;
   Work work_;
   std::map<std::string, Worker> workers_;
--- /dev/null
+++ b/src/site/process.cpp
@@ -0,0 +1,97 @@
+#include "site/process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+
+namespace badgershore::site {
+namespace {
+
+std::vector<int> Stages(const std::vector<Command>& commands) {
+  std::vector<int> out;
+  for (const Command& c : commands) out.push_back(c.stage);
+  return out;
+}
+
+}  // namespace
+
+Processes::Processes(io::Loop* loop, std::vector<Command> commands)
+    : loop_(loop),
+      commands_(std::move(commands)),
+      pids_(commands_.size(), 0),
+      supervisor_(Stages(commands_)) {}
+
+pid_t Processes::Spawn(const Command& command) {
+  std::vector<char*> argv;
+  for (const std::string& a : command.argv) argv.push_back(const_cast<char*>(a.c_str()));
+  argv.push_back(nullptr);
+  const pid_t parent = ::getpid();
+  const pid_t pid = ::fork();
+  if (pid != 0) return pid;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (::getppid() != parent) _exit(127);  // it ended before we asked to be told
+  ::setpgid(0, 0);                        // a Ctrl-C at the terminal is for the parent alone
+  const int log = ::open(command.log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (log >= 0) {
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+  }
+  ::execv(argv[0], argv.data());
+  _exit(127);
+}
+
+void Processes::Do(const Supervisor::Action& action) {
+  pid_t& pid = pids_[action.child];
+  switch (action.kind) {
+    case Supervisor::Action::Kind::kStart:
+      pid = Spawn(commands_[action.child]);
+      break;
+    case Supervisor::Action::Kind::kTerminate:
+      if (pid > 0) ::kill(pid, SIGTERM);
+      break;
+    case Supervisor::Action::Kind::kKill:
+      if (pid > 0) ::kill(pid, SIGKILL);
+      break;
+  }
+}
+
+void Processes::Start(std::function<void()> over) { io::Spawn(Watch(std::move(over))); }
+void Processes::Stop() { supervisor_.Stop(io::Loop::Now()); }
+void Processes::Kill(size_t child, Micros back_after) {
+  Do(supervisor_.Kill(io::Loop::Now(), child, back_after));
+}
+
+io::Task<void> Processes::Watch(std::function<void()> over) {
+  while (!supervisor_.over()) {
+    for (size_t i = 0; i < pids_.size(); ++i) {
+      int status = 0;
+      if (pids_[i] <= 0 || ::waitpid(pids_[i], &status, WNOHANG) != pids_[i]) continue;
+      pids_[i] = 0;
+      supervisor_.OnEnded(io::Loop::Now(), i);
+      if (on_ended) on_ended(commands_[i].name, status);
+    }
+    for (const Supervisor::Action& a : supervisor_.Tick(io::Loop::Now())) Do(a);
+    co_await loop_->Sleep(Millis(50));
+  }
+  over();
+}
+
+std::string FreeAddress() {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in sa{};
+  socklen_t size = sizeof(sa);
+  sa.sin_family = AF_INET;
+  sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ::bind(fd, reinterpret_cast<sockaddr*>(&sa), sizeof(sa));
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&sa), &size);
+  ::close(fd);
+  return "127.0.0.1:" + std::to_string(ntohs(sa.sin_port));
+}
+
+}  // namespace badgershore::site
--- /dev/null
+++ b/src/site/process.h
@@ -0,0 +1,47 @@
+// Processes of a site, started and watched by the loop. They end with the program that started
+// them, however that ends.
+#pragma once
+
+#include <sys/types.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "io/loop.h"
+#include "site/core/supervise.h"
+
+namespace badgershore::site {
+
+struct Command {
+  std::string name;
+  std::vector<std::string> argv;
+  std::string log_file;  // standard output and error are appended
+  int stage = 0;
+};
+
+class Processes {
+ public:
+  Processes(io::Loop* loop, std::vector<Command> commands);
+  // Starts them and keeps them running until Stop; then ends them all and calls `over`.
+  void Start(std::function<void()> over);
+  void Stop();
+  void Kill(size_t child, Micros back_after);
+  // An ended child is told here, with its wait status.
+  std::function<void(const std::string& name, int status)> on_ended;
+
+ private:
+  io::Task<void> Watch(std::function<void()> over);
+  void Do(const Supervisor::Action& action);
+  pid_t Spawn(const Command& command);
+
+  io::Loop* loop_;
+  std::vector<Command> commands_;
+  std::vector<pid_t> pids_;
+  Supervisor supervisor_;
+};
+
+// A free loopback port, as HOST:PORT. Nothing keeps it from being taken until it is used.
+std::string FreeAddress();
+
+}  // namespace badgershore::site
--- /dev/null
+++ b/src/site/relay.cpp
@@ -0,0 +1,62 @@
+#include "site/relay.h"
+
+namespace badgershore::site {
+namespace {
+constexpr http::Limits kLimits{8 * 1024, 16 * 1024, 1024 * 1024};
+constexpr Micros kProbeEvery = Seconds(1), kProbeTimeout = Seconds(1), kAnswer = Seconds(70);
+}  // namespace
+
+Relay::Relay(io::Loop* loop, std::vector<std::string> nodes)
+    : loop_(loop),
+      nodes_(std::move(nodes)),
+      balancer_(nodes_.size()),
+      server_(
+          loop, [this](http::Message m) { return Handle(std::move(m)); }, 1024) {}
+
+bool Relay::Start(const std::string& addr, std::string* error) {
+  if (!server_.Start(addr, error)) return false;
+  for (size_t i = 0; i < nodes_.size(); ++i) io::Spawn(Probe(i));
+  return true;
+}
+
+bool Relay::ready() const {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (balancer_.healthy(i)) return true;
+  }
+  return false;
+}
+
+io::Task<void> Relay::Probe(size_t node) {
+  for (;;) {
+    const Micros start = io::Loop::Now();
+    http::Client client(loop_, nodes_[node], 0, kLimits);
+    const http::ClientAnswer a = co_await client.Request("GET", "/healthz", "", kProbeTimeout);
+    balancer_.OnProbe(io::Loop::Now(), node, a.answered() && a.status == 200);
+    // Nobody is healthy at the start: look more often until somebody is.
+    const Micros every = ready() ? kProbeEvery : Millis(100);
+    co_await loop_->Sleep(std::max(Millis(20), start + every - io::Loop::Now()));
+  }
+}
+
+io::Task<http::ServerAnswer> Relay::Handle(http::Message request) {
+  for (const size_t node : balancer_.Order(io::Loop::Now(), ++turn_)) {
+    http::Client client(loop_, nodes_[node], 0, kLimits);
+    balancer_.OnOpen(node);
+    http::ClientAnswer a =
+        co_await client.Request(request.method, request.target, request.body, kAnswer);
+    balancer_.OnClose(node);
+    const bool sent = a.outcome != http::ClientAnswer::Outcome::kNotSent;
+    balancer_.OnConnect(io::Loop::Now(), node, sent);
+    if (!sent) continue;
+    http::ServerAnswer answer;
+    // What became of it is not known: the user asks again, as after any such break.
+    answer.hang_up = !a.answered();
+    answer.status = a.status;
+    answer.body = std::move(a.body);
+    answer.retry_after_s = a.status == 503 || a.status == 429 ? 1 : 0;
+    co_return answer;
+  }
+  co_return http::ServerAnswer{503, "{\"error\":\"no controller can take requests\"}", 1};
+}
+
+}  // namespace badgershore::site
--- /dev/null
+++ b/src/site/relay.h
@@ -0,0 +1,34 @@
+// One address for users in front of several controllers: each request goes to a healthy node, and
+// to another where it was refused.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "site/core/balance.h"
+
+namespace badgershore::site {
+
+class Relay {
+ public:
+  Relay(io::Loop* loop, std::vector<std::string> nodes);
+  bool Start(const std::string& addr, std::string* error);
+  std::string address() const { return server_.address(); }
+  // Some node can take requests.
+  bool ready() const;
+
+ private:
+  io::Task<http::ServerAnswer> Handle(http::Message request);
+  io::Task<void> Probe(size_t node);
+
+  io::Loop* loop_;
+  std::vector<std::string> nodes_;
+  Balancer balancer_;
+  uint64_t turn_ = 0;
+  http::Server server_;
+};
+
+}  // namespace badgershore::site
--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -164,7 +164,7 @@
 class KeptNight : public testing::TestWithParam<const char*> {};
 
 TEST_P(KeptNight, BreaksNothingAndEndsTheSameWithEverySeed) {
-  const Night night = LoadNight(std::string(BADGERSHORE_NIGHTS) + "/" + GetParam() + ".yaml");
+  const config::Night night = config::LoadNight(std::string(BADGERSHORE_NIGHTS) + "/" + GetParam() + ".yaml");
   std::map<std::string, std::string> ends;
   for (uint64_t seed = 1; seed <= 3; ++seed) {
     const Result r = World(night, seed).Run();
@@ -190,11 +190,11 @@
 // Guards against: chance from anywhere but the seed (an address, a clock, the order of a hash).
 // The kept hash holds for every build type; a change of the history by design changes it.
 TEST(Night, TheSameSeedIsTheSameHistoryToTheByte) {
-  const Night night = LoadNight(std::string(BADGERSHORE_NIGHTS) + "/all-at-once.yaml");
+  const config::Night night = config::LoadNight(std::string(BADGERSHORE_NIGHTS) + "/all-at-once.yaml");
   const std::string first = store::Sha256(World(night, 7).Run().history);
   EXPECT_EQ(first, store::Sha256(World(night, 7).Run().history));
   EXPECT_NE(first, store::Sha256(World(night, 8).Run().history));
-  EXPECT_EQ(first, "b2367dce34815ccbfae07d4de7595c1018d67295d7a78e0b8263668d044921f9");
+  EXPECT_EQ(first, "ac09dd0e57678ea7e90c05b5029f9ed496c3097b24de279c01282f6d5ec22f3f");
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/site_test.cpp
@@ -0,0 +1,96 @@
+// The load balancer's and the supervisor's decisions.
+#include <gtest/gtest.h>
+
+#include "site/core/balance.h"
+#include "site/core/supervise.h"
+
+namespace badgershore::site {
+namespace {
+
+TEST(Balance, FollowsProbesAsWritten) {
+  Balancer b(2);
+  Micros now = Seconds(100);
+  EXPECT_TRUE(b.Order(now, 0).empty());
+  b.OnProbe(now, 0, true);  // one success will do for a node that has never been healthy
+  EXPECT_TRUE(b.healthy(0));
+  b.OnProbe(now, 0, false);
+  EXPECT_TRUE(b.healthy(0));
+  b.OnProbe(now, 0, false);  // two in a row
+  EXPECT_FALSE(b.healthy(0));
+  for (int i = 0; i < 2; ++i) b.OnProbe(now += Seconds(1), 0, true);
+  EXPECT_FALSE(b.healthy(0));  // not before 3 s
+  b.OnProbe(now += Seconds(1), 0, true);
+  EXPECT_TRUE(b.healthy(0));
+  for (const bool good : {false, true, false, true, false}) b.OnProbe(now += Seconds(1), 0, good);
+  EXPECT_FALSE(b.healthy(0));  // three of the last six; the pause is doubled
+  for (int i = 0; i < 5; ++i) b.OnProbe(now += Seconds(1), 0, true);
+  EXPECT_FALSE(b.healthy(0));
+  b.OnProbe(now += Seconds(1), 0, true);
+  EXPECT_TRUE(b.healthy(0));
+}
+
+TEST(Balance, PrefersFewConnectionsAndPassesOverWhoRefuses) {
+  Balancer b(4);
+  const Micros now = Seconds(100);
+  for (size_t i = 0; i < 4; ++i) b.OnProbe(now, i, true);
+  b.OnOpen(0);
+  b.OnOpen(0);
+  b.OnOpen(1);
+  EXPECT_EQ(b.Order(now, 0), (std::vector<size_t>{2, 3, 1}));
+  for (int i = 0; i < 3; ++i) b.OnConnect(now, 2, false);
+  EXPECT_EQ(b.Order(now, 0), (std::vector<size_t>{3, 1, 0}));
+  EXPECT_EQ(b.Order(now + Seconds(3), 0).front(), 2u);
+}
+
+using Kind = Supervisor::Action::Kind;
+
+TEST(Supervise, StartsInStagesAndGivesTheUnsteadyMoreTime) {
+  Supervisor s({1, 0});
+  Micros now = Seconds(100);
+  auto did = s.Tick(now);
+  ASSERT_EQ(did.size(), 1u);
+  EXPECT_EQ(did[0].child, 1u);
+  EXPECT_TRUE(s.Tick(now + Millis(100)).empty());
+  did = s.Tick(now += Millis(300));
+  ASSERT_EQ(did.size(), 1u);
+  EXPECT_EQ(did[0].child, 0u);
+  Micros pause;
+  for (int i = 0; i < 8; ++i) {  // it ends as soon as it has started
+    s.OnEnded(now, 0);
+    const Micros ended = now;
+    while (s.Tick(now).empty()) now += Millis(50);
+    EXPECT_GE(now - ended, pause);
+    pause = now - ended;
+  }
+  EXPECT_LE(pause, Seconds(10));
+  now += Seconds(60);
+  s.OnEnded(now, 0);
+  EXPECT_EQ(s.Tick(now += Millis(500)).size(), 1u);
+}
+
+TEST(Supervise, EndsLaterStagesFirstAndInsists) {
+  Supervisor s({0, 1});
+  Micros now = Seconds(100);
+  s.Tick(now);
+  s.Tick(now += Seconds(1));
+  s.Stop(now);
+  auto did = s.Tick(now);
+  ASSERT_EQ(did.size(), 1u);
+  EXPECT_EQ(did[0].child, 1u);
+  EXPECT_EQ(did[0].kind, Kind::kTerminate);
+  EXPECT_TRUE(s.Tick(now + Seconds(1)).empty());
+  did = s.Tick(now += Seconds(5));
+  ASSERT_EQ(did.size(), 1u);
+  EXPECT_EQ(did[0].kind, Kind::kKill);
+  s.OnEnded(now, 1);
+  EXPECT_FALSE(s.over());
+  did = s.Tick(now);
+  ASSERT_EQ(did.size(), 1u);
+  EXPECT_EQ(did[0].child, 0u);
+  s.OnEnded(now, 0);
+  EXPECT_TRUE(s.over());
+  EXPECT_TRUE(s.Tick(now += Seconds(60)).empty());  // and nothing is started again
+}
+
+}  // namespace
+}  // namespace badgershore::site
