--- /dev/null
+++ b/bench/store_bench.cpp
@@ -0,0 +1,209 @@
+// The state service's storage, measured: commits a second by writers at a time against bare
+// write+fdatasync of the same bytes, the libraries weighed for it, ranges, watches, recovery.
+// Times are the machine's that it runs on; run it alone. Not part of the tests.
+#include <benchmark/benchmark.h>
+#include <fcntl.h>
+#include <lmdb.h>
+#include <malloc.h>
+#include <sqlite3.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "store/disk/engine.h"
+
+namespace badgershore::store {
+namespace {
+
+namespace fs = std::filesystem;
+constexpr size_t kValue = 200;
+
+std::string Folder() {
+  const char* base = std::getenv("BENCH_DIR");
+  std::string name = std::string(base ? base : "/var/tmp") + "/badgershore-bench-XXXXXX";
+  return ::mkdtemp(name.data());
+}
+
+std::string Key(uint64_t n) {
+  char key[32];
+  std::snprintf(key, sizeof(key), "job/job-%09llu", static_cast<unsigned long long>(n));
+  return key;
+}
+
+// As many commits as there are writers, each of one put, as one group.
+void Commits(benchmark::State& state) {
+  const std::string dir = Folder();
+  {
+    Engine engine(dir + "/s", Engine::Mode::kOwn);
+    uint64_t n = 0;
+    for (auto _ : state) {
+      state.PauseTiming();
+      Batch whole;
+      whole.epoch = n;
+      for (int64_t w = 0; w < state.range(0); ++w) {
+        ++n;
+        const std::string key = Key(n % 100000);
+        whole.epoch = n;
+        whole.items[key] = Item{"\"" + std::string(kValue, 'x') + "\"", n, 0};
+        whole.log.push_back({n, key, whole.items[key]->value});
+      }
+      whole.compacted = n > kKeptChanges ? n - kKeptChanges : 0;
+      state.ResumeTiming();
+      if (engine.Write(whole) != Written::kDurable) state.SkipWithError("not written");
+    }
+    state.SetItemsProcessed(static_cast<int64_t>(n));
+  }
+  fs::remove_all(dir);
+}
+BENCHMARK(Commits)->Arg(1)->Arg(16)->Arg(256)->UseRealTime()->Unit(benchmark::kMicrosecond);
+
+// The same bytes (key, value, the row of the log, about 120 bytes of rows' heads a commit).
+void BareWrites(benchmark::State& state) {
+  const std::string dir = Folder();
+  const int fd = ::open((dir + "/f").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+  const std::string bytes(static_cast<size_t>(state.range(0)) * (2 * (kValue + 19) + 120), 'x');
+  int64_t n = 0;
+  for (auto _ : state) {
+    if (::write(fd, bytes.data(), bytes.size()) < 0 || ::fdatasync(fd) != 0) {
+      state.SkipWithError("not written");
+    }
+    n += state.range(0);
+  }
+  state.SetItemsProcessed(n);
+  ::close(fd);
+  fs::remove_all(dir);
+}
+BENCHMARK(BareWrites)->Arg(1)->Arg(16)->Arg(256)->UseRealTime()->Unit(benchmark::kMicrosecond);
+
+void CommitsInLmdb(benchmark::State& state) {
+  const std::string dir = Folder();
+  MDB_env* env = nullptr;
+  mdb_env_create(&env);
+  mdb_env_set_mapsize(env, 4ULL << 30);
+  if (mdb_env_open(env, dir.c_str(), 0, 0600) != 0) state.SkipWithError("not opened");
+  uint64_t n = 0;
+  const std::string value(2 * kValue, 'x');
+  for (auto _ : state) {
+    MDB_txn* txn = nullptr;
+    MDB_dbi dbi = 0;
+    mdb_txn_begin(env, nullptr, 0, &txn);
+    mdb_dbi_open(txn, nullptr, 0, &dbi);
+    for (int64_t w = 0; w < state.range(0); ++w) {
+      std::string key = Key(++n % 100000);
+      MDB_val k{key.size(), key.data()}, v{value.size(), const_cast<char*>(value.data())};
+      mdb_put(txn, dbi, &k, &v, 0);
+    }
+    if (mdb_txn_commit(txn) != 0) state.SkipWithError("not written");
+  }
+  state.SetItemsProcessed(static_cast<int64_t>(n));
+  mdb_env_close(env);
+  fs::remove_all(dir);
+}
+BENCHMARK(CommitsInLmdb)->Arg(1)->Arg(16)->Arg(256)->UseRealTime()->Unit(benchmark::kMicrosecond);
+
+void CommitsInSqlite(benchmark::State& state) {
+  const std::string dir = Folder();
+  sqlite3* db = nullptr;
+  sqlite3_open((dir + "/s.db").c_str(), &db);
+  for (const char* sql : {"PRAGMA journal_mode=WAL", "PRAGMA synchronous=FULL",
+                          "CREATE TABLE t(k TEXT PRIMARY KEY, v TEXT) WITHOUT ROWID"}) {
+    sqlite3_exec(db, sql, nullptr, nullptr, nullptr);
+  }
+  sqlite3_stmt* put = nullptr;
+  sqlite3_prepare_v2(db, "INSERT OR REPLACE INTO t VALUES(?,?)", -1, &put, nullptr);
+  const std::string value(2 * kValue, 'x');
+  uint64_t n = 0;
+  for (auto _ : state) {
+    sqlite3_exec(db, "BEGIN", nullptr, nullptr, nullptr);
+    for (int64_t w = 0; w < state.range(0); ++w) {
+      const std::string key = Key(++n % 100000);
+      sqlite3_bind_text(put, 1, key.c_str(), -1, SQLITE_TRANSIENT);
+      sqlite3_bind_text(put, 2, value.c_str(), -1, SQLITE_TRANSIENT);
+      sqlite3_step(put);
+      sqlite3_reset(put);
+    }
+    if (sqlite3_exec(db, "COMMIT", nullptr, nullptr, nullptr) != SQLITE_OK) {
+      state.SkipWithError("not written");
+    }
+  }
+  state.SetItemsProcessed(static_cast<int64_t>(n));
+  sqlite3_finalize(put);
+  sqlite3_close(db);
+  fs::remove_all(dir);
+}
+BENCHMARK(CommitsInSqlite)->Arg(1)->Arg(16)->Arg(256)->UseRealTime()->Unit(benchmark::kMicrosecond);
+
+Image Filled(uint64_t keys) {
+  Image image;
+  for (uint64_t n = 1; n <= keys; ++n) {
+    image.items[Key(n)] = Item{"\"" + std::string(kValue, 'x') + "\"", n, 0};
+  }
+  image.epoch = image.compacted = keys;
+  return image;
+}
+
+void Ranges(benchmark::State& state) {
+  Machine machine({}, Filled(100000), Seconds(1));
+  Token token = 0;
+  std::string after;
+  for (auto _ : state) {
+    machine.Ask(Seconds(1), ++token, RangeRequest{"job/", after, 500});
+    const Answer a = machine.Take().answers.at(0).second;
+    after = a.truncated ? a.items.back().first : "";
+  }
+  state.SetItemsProcessed(state.iterations() * 500);
+}
+BENCHMARK(Ranges)->Unit(benchmark::kMicrosecond);
+
+// One commit with so many watches open, a tenth of which want its key.
+void CommitsUnderWatches(benchmark::State& state) {
+  Machine machine({}, {}, Seconds(1));
+  Token token = 0;
+  uint64_t n = 0;
+  for (auto _ : state) {
+    state.PauseTiming();
+    while (machine.watches() < static_cast<size_t>(state.range(0))) {
+      const std::string prefix = ++token % 10 == 0 ? "job/" : "other" + std::to_string(token) + "/";
+      machine.Ask(Seconds(1), token, WatchRequest{prefix, machine.image().epoch, Seconds(60)});
+    }
+    state.ResumeTiming();
+    CommitRequest r;
+    r.changes.push_back({Key(++n % 1000), "1", 0});
+    machine.Ask(Seconds(1), ++token, std::move(r));
+    machine.OnWritten(Seconds(1), machine.Take().write->id, Written::kDurable);
+    benchmark::DoNotOptimize(machine.Take());
+  }
+}
+BENCHMARK(CommitsUnderWatches)->Arg(0)->Arg(500)->Unit(benchmark::kMicrosecond);
+
+size_t ResidentMb() {
+  std::ifstream in("/proc/self/statm");
+  size_t all = 0, resident = 0;
+  in >> all >> resident;
+  return resident * 4096 >> 20;
+}
+
+void Recovery(benchmark::State& state) {
+  const std::string dir = Folder();
+  {
+    Engine engine(dir + "/s", Engine::Mode::kOwn);
+    engine.Fill(Filled(static_cast<uint64_t>(state.range(0))));
+  }
+  ::malloc_trim(0);
+  const size_t before = ResidentMb();
+  for (auto _ : state) {
+    Engine engine(dir + "/s", Engine::Mode::kOwn);
+    const Machine machine({}, engine.Load(), Seconds(1));
+    state.counters["keys"] = static_cast<double>(machine.image().items.size());
+    state.counters["resident_mb"] = static_cast<double>(ResidentMb() - before);
+  }
+  fs::remove_all(dir);
+}
+BENCHMARK(Recovery)->Arg(1000000)->Iterations(2)->UseRealTime()->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace badgershore::store
+
+BENCHMARK_MAIN();
--- a/src/store/disk/engine.cpp
+++ b/src/store/disk/engine.cpp
@@ -15,6 +15,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <streambuf>
 
 #include "store/disk/logcheck.h"
 
@@ -70,14 +71,32 @@
   return v;
 }
 
+// A string as a stream: a new string stream for each record costs more than the record.
+class StringSink : public std::streambuf {
+ public:
+  std::string text;
+
+ private:
+  std::streamsize xsputn(const char* data, std::streamsize n) override {
+    text.append(data, static_cast<size_t>(n));
+    return n;
+  }
+  int overflow(int c) override {
+    text.push_back(static_cast<char>(c));
+    return c;
+  }
+};
+
 template <typename Row>
 std::string Pack(const Row& row) {
-  std::ostringstream out;
+  thread_local StringSink sink;
+  thread_local std::ostream out(&sink);
+  sink.text.clear();
   {
     cereal::PortableBinaryOutputArchive archive(out);
     archive(kFormat, row);
   }
-  return std::move(out).str();
+  return sink.text;
 }
 
 template <typename Row>
--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -164,7 +164,8 @@
 class KeptNight : public testing::TestWithParam<const char*> {};
 
 TEST_P(KeptNight, BreaksNothingAndEndsTheSameWithEverySeed) {
-  const config::Night night = config::LoadNight(std::string(BADGERSHORE_NIGHTS) + "/" + GetParam() + ".yaml");
+  const config::Night night =
+      config::LoadNight(std::string(BADGERSHORE_NIGHTS) + "/" + GetParam() + ".yaml");
   std::map<std::string, std::string> ends;
   for (uint64_t seed = 1; seed <= 3; ++seed) {
     const Result r = World(night, seed).Run();
@@ -190,7 +191,8 @@
 // Guards against: chance from anywhere but the seed (an address, a clock, the order of a hash).
 // The kept hash holds for every build type; a change of the history by design changes it.
 TEST(Night, TheSameSeedIsTheSameHistoryToTheByte) {
-  const config::Night night = config::LoadNight(std::string(BADGERSHORE_NIGHTS) + "/all-at-once.yaml");
+  const config::Night night =
+      config::LoadNight(std::string(BADGERSHORE_NIGHTS) + "/all-at-once.yaml");
   const std::string first = store::Sha256(World(night, 7).Run().history);
   EXPECT_EQ(first, store::Sha256(World(night, 7).Run().history));
   EXPECT_NE(first, store::Sha256(World(night, 8).Run().history));
