--- a/src/config/night.cpp
+++ b/src/config/night.cpp
@@ -64,7 +64,10 @@
   t.span = m.Span("for_s", 0, end.ToSeconds(), 0);
   t.share = m.Number("share", 0, 1, 1);
   if (t.kind == Trouble::Kind::kKill || t.kind == Trouble::Kind::kCut) t.who = m.Text("who");
-  if (t.kind == Trouble::Kind::kCut) t.whom = m.Text("whom");
+  if (t.kind == Trouble::Kind::kCut) {
+    t.whom = m.Text("whom");
+    t.resets = m.Flag("resets", false);
+  }
   m.NoOthers();
   return t;
 }
--- a/src/config/night.h
+++ b/src/config/night.h
@@ -45,6 +45,7 @@
   Micros at, span;
   double share = 1;
   std::string who, whom;
+  bool resets = false;  // a cut that resets connections instead of holding back what they carry
 };
 struct Night {
   std::string name, about;
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -37,6 +37,7 @@
 
   void Run();
   void Stop() { running_ = false; }
+  void Restart() { running_ = true; }  // Run may be called again
 
   void Arm(Waiter* w, Micros deadline);
   void Wake(Waiter* w);  // resumes from the loop, not from inside the caller
--- a/src/rehearsal/world.cpp
+++ b/src/rehearsal/world.cpp
@@ -88,7 +88,7 @@
   return who == host;
 }
 
-void World::Deliver(const std::string& from, const std::string& to, bool reply,
+bool World::Deliver(const std::string& from, const std::string& to, bool reply,
                     std::function<void()> then) {
   Micros at = now_ + Between(0.0002, 0.0012);
   for (const Cut& cut : cuts_) {
@@ -97,11 +97,13 @@
         !(Matches(cut.b, from) && Matches(cut.a, to))) {
       continue;
     }
+    if (cut.resets) return false;
     // What was under way on an open connection is held back; a new connection never comes about.
-    if (!reply && Chance() < 0.5) return;
+    if (!reply && Chance() < 0.5) return true;
     at = std::max(at, cut.until + Between(0.001, 0.5));
   }
   Later(at, std::move(then));
+  return true;
 }
 
 void World::Send(const std::string& from, const std::string& to, wire::Call call, Reply reply) {
@@ -109,8 +111,9 @@
   const int life = IsNode(from) ? nodes_[NodeIndex(from)].life : 0;
   const Micros timeout = call.timeout;
   pending_[id] = {from, to, life, std::move(reply)};
-  Deliver(from, to, false, [this, id, to, call = std::move(call)] { Serve(id, to, call); });
-  Later(now_ + timeout, [this, id] { Finish(id, kNoAnswer, ""); });
+  const bool sent =
+      Deliver(from, to, false, [this, id, to, call = std::move(call)] { Serve(id, to, call); });
+  Later(now_ + (sent ? timeout : Millis(1)), [this, id] { Finish(id, kNoAnswer, ""); });
 }
 
 void World::Finish(uint64_t id, int status, const std::string& body) {
@@ -128,8 +131,10 @@
 void World::Respond(uint64_t id, int status, std::string body) {
   auto it = pending_.find(id);
   if (it == pending_.end()) return;  // the caller has given up
-  Deliver(it->second.to, it->second.from, true,
-          [this, id, status, body = std::move(body)] { Finish(id, status, body); });
+  const bool sent =
+      Deliver(it->second.to, it->second.from, true,
+              [this, id, status, body = std::move(body)] { Finish(id, status, body); });
+  if (!sent) Later(now_ + Millis(1), [this, id] { Finish(id, kNoAnswer, ""); });
 }
 
 // A caller that has given up does not keep its request from being carried out.
@@ -619,7 +624,7 @@
       const auto host = [&](const std::string& who) {
         return who == "leader" ? NodeName(static_cast<size_t>(std::max(Leader(), 0))) : who;
       };
-      cuts_.push_back({host(t.who), host(t.whom), now_ + t.span});
+      cuts_.push_back({host(t.who), host(t.whom), now_ + t.span, t.resets});
       return;
     }
     case Kind::kMachinesFail:
--- a/src/rehearsal/world.h
+++ b/src/rehearsal/world.h
@@ -76,7 +76,8 @@
   }
 
   // Network. Hosts are node-N, state, cloud, users and machines by their ids.
-  void Deliver(const std::string& from, const std::string& to, bool reply,
+  // False where a cut resets the connection: then nothing is delivered.
+  bool Deliver(const std::string& from, const std::string& to, bool reply,
                std::function<void()> then);
   void Send(const std::string& from, const std::string& to, wire::Call call, Reply reply);
   void Finish(uint64_t id, int status, const std::string& body);
@@ -134,6 +135,7 @@
   struct Cut {
     std::string a, b;
     Micros until;
+    bool resets = false;
   };
   struct Node {
     std::unique_ptr<Controller> core;
--- a/src/store/disk/engine.cpp
+++ b/src/store/disk/engine.cpp
@@ -4,6 +4,7 @@
 #include <rocksdb/db.h>
 #include <rocksdb/env.h>
 #include <rocksdb/filter_policy.h>
+#include <rocksdb/memtablerep.h>
 #include <rocksdb/table.h>
 #include <rocksdb/write_batch.h>
 #include <sys/statvfs.h>
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -50,19 +52,28 @@
   }
 };
 struct ChangeRow {
+  uint64_t stamp = 0;
   std::string key, value;
   bool deleted = false;
   template <class A>
   void serialize(A& a) {
-    a(key, value, deleted);
+    a(stamp, key, value, deleted);
+  }
+};
+// The changes of one batch, in one record under its last revision.
+struct ChangesRow {
+  std::vector<ChangeRow> changes;
+  template <class A>
+  void serialize(A& a) {
+    a(changes);
   }
 };
 
 const std::string kMeta = "m";
 
-std::string BigEndian(uint64_t v, int bytes = 8) {
-  std::string out(static_cast<size_t>(bytes), '\0');
-  for (int i = bytes - 1; i >= 0; --i, v >>= 8) out[static_cast<size_t>(i)] = static_cast<char>(v);
+std::string BigEndian(uint64_t v) {
+  std::string out(8, '\0');
+  for (int i = 7; i >= 0; --i, v >>= 8) out[static_cast<size_t>(i)] = static_cast<char>(v);
   return out;
 }
 uint64_t FromBigEndian(std::string_view s) {
@@ -129,18 +140,16 @@
 void PutItem(rocksdb::WriteBatch* out, const std::string& key, const Item& item) {
   out->Put("k" + key, Pack(ItemRow{item.stamp, item.lease, item.value}));
 }
-std::string ChangeKey(uint64_t stamp, uint64_t index) {
-  return "c" + BigEndian(stamp) + BigEndian(index, 4);
-}
+std::string ChangesKey(uint64_t last_stamp) { return "c" + BigEndian(last_stamp); }
 template <typename Rows>
 void PutLog(rocksdb::WriteBatch* out, const Rows& rows) {
-  uint64_t stamp = 0, index = 0;
+  if (rows.empty()) return;
+  ChangesRow all;
+  all.changes.reserve(rows.size());
   for (const LogRow& row : rows) {
-    index = row.stamp == stamp ? index + 1 : 0;
-    stamp = row.stamp;
-    out->Put(ChangeKey(stamp, index),
-             Pack(ChangeRow{row.key, row.value.value_or(""), !row.value.has_value()}));
+    all.changes.push_back({row.stamp, row.key, row.value.value_or(""), !row.value.has_value()});
   }
+  out->Put(ChangesKey(rows.back().stamp), Pack(all));
 }
 
 uint64_t AskFreeBytes(const std::string& dir) {
@@ -236,6 +245,10 @@
   o.track_and_verify_wals_in_manifest = mode_ == Mode::kOwn;
   o.max_background_jobs = 2;
   o.write_buffer_size = 16 << 20;
+  // Nothing is read while it serves: new rows are only kept in the order of their coming, and
+  // sorted when they go to a table.
+  o.memtable_factory = std::make_shared<rocksdb::VectorRepFactory>();
+  o.allow_concurrent_memtable_write = false;
   o.max_open_files = mode_ == Mode::kLook ? -1 : 256;
   o.keep_log_file_num = 3;
   o.info_log_level = rocksdb::InfoLogLevel::WARN_LEVEL;
@@ -299,19 +312,18 @@
   read.verify_checksums = true;
   read.fill_cache = false;
   std::unique_ptr<rocksdb::Iterator> it(db_->NewIterator(read));
-  std::vector<LogRow> log;
   bool meta = false;
   for (it->SeekToFirst(); it->Valid(); it->Next()) {
     const rocksdb::Slice key = it->key(), value = it->value();
     const std::string_view rest(key.data() + 1, key.size() - 1);
     switch (key[0]) {
-      case 'c': {
-        ChangeRow row = Unpack<ChangeRow>(key, value);
-        LogRow change{FromBigEndian(rest.substr(0, 8)), std::move(row.key), std::nullopt};
-        if (!row.deleted) change.value = std::move(row.value);
-        log.push_back(std::move(change));
+      case 'c':
+        for (ChangeRow& row : Unpack<ChangesRow>(key, value).changes) {
+          LogRow change{row.stamp, std::move(row.key), std::nullopt};
+          if (!row.deleted) change.value = std::move(row.value);
+          image.log.push_back(std::move(change));
+        }
         break;
-      }
       case 'k': {
         ItemRow row = Unpack<ItemRow>(key, value);
         image.items.emplace_hint(image.items.end(), std::string(rest),
@@ -334,12 +346,11 @@
     }
   }
   if (!it->status().ok()) throw DiskError(dir_ + ": " + OneLine(it->status().ToString()));
-  if (!meta && (!image.items.empty() || !log.empty())) {
+  if (!meta && (!image.items.empty() || !image.log.empty())) {
     throw DiskError(dir_ + ": the revision's record is missing");
   }
-  for (LogRow& row : log) {
-    if (row.stamp > image.compacted) image.log.push_back(std::move(row));
-  }
+  // The revision's record comes after the changes; what it has forgotten goes now.
+  while (!image.log.empty() && image.log.front().stamp <= image.compacted) image.log.pop_front();
   trimmed_ = image.compacted;
   return image;
 }
@@ -367,7 +378,7 @@
   PutLog(&out, batch.log);
   // Dropping old rows by range costs later reads something, so it is done seldom.
   const bool trim = batch.compacted > trimmed_ + kKeptChanges / 4;
-  if (trim) out.DeleteRange("c", ChangeKey(batch.compacted + 1, 0));
+  if (trim) out.DeleteRange("c", ChangesKey(batch.compacted + 1));
   rocksdb::WriteOptions sync;
   sync.sync = true;
   if (db_->Write(sync, &out).ok()) {
@@ -408,7 +419,16 @@
   for (const auto& [id, life] : image.leases) {
     out.Put("l" + BigEndian(id), Pack(LeaseRow{life.count}));
   }
-  PutLog(&out, image.log);
+  // In pieces that end with a revision, as batches do.
+  std::vector<LogRow> piece;
+  for (size_t i = 0; i < image.log.size(); ++i) {
+    piece.push_back(image.log[i]);
+    const bool whole = i + 1 == image.log.size() || image.log[i + 1].stamp != image.log[i].stamp;
+    if (!whole || (piece.size() < 256 && i + 1 < image.log.size())) continue;
+    PutLog(&out, piece);
+    piece.clear();
+    flush(false);
+  }
   Put(&out, MetaRow{image.epoch, image.last_lease, image.compacted, ++writes_});
   flush(true);
 }
--- /dev/null
+++ b/tests/state_program_test.cpp
@@ -0,0 +1,164 @@
+// badgershore-state as a process: killed, started again, refused, full, asked by many.
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "http/client.h"
+#include "io/loop.h"
+
+namespace badgershore {
+namespace {
+
+namespace fs = std::filesystem;
+
+class StateProgram : public testing::Test {
+ protected:
+  StateProgram() {
+    char name[] = "/tmp/badgershore-state-test-XXXXXX";
+    root_ = mkdtemp(name);
+  }
+  ~StateProgram() override {
+    Kill();
+    fs::remove_all(root_);
+  }
+  void Start(const std::string& options = "") {
+    int out[2];
+    ASSERT_EQ(pipe(out), 0);
+    pid_ = fork();
+    if (pid_ == 0) {
+      dup2(out[1], STDOUT_FILENO);
+      close(out[0]);
+      setenv("LOG_LEVEL", "error", 1);
+      const std::string data = root_ + "/data";
+      if (options.empty()) {
+        execl(BADGERSHORE_STATE, BADGERSHORE_STATE, "serve", "--data", data.c_str(), "--listen",
+              "127.0.0.1:0", nullptr);
+      } else {
+        std::ofstream(root_ + "/options.yaml") << options;
+        execl(BADGERSHORE_STATE, BADGERSHORE_STATE, "serve", "--data", data.c_str(), "--listen",
+              "127.0.0.1:0", "--options", (root_ + "/options.yaml").c_str(), nullptr);
+      }
+      _exit(127);
+    }
+    close(out[1]);
+    FILE* in = fdopen(out[0], "r");
+    char line[128] = "";
+    ASSERT_TRUE(fgets(line, sizeof(line), in));
+    fclose(in);
+    char addr[64] = "";
+    ASSERT_EQ(sscanf(line, "listening on %63s", addr), 1) << line;
+    addr_ = addr;
+  }
+  void Kill(int signal = SIGKILL) {
+    if (pid_ <= 0) return;
+    kill(pid_, signal);
+    waitpid(pid_, &status_, 0);
+    pid_ = 0;
+  }
+  static io::Task<void> Story(StateProgram* t, std::string method, std::string target,
+                              std::string body, http::ClientAnswer* out) {
+    http::Client client(&t->loop_, t->addr_, 0, {});
+    *out =
+        co_await client.Request(std::move(method), std::move(target), std::move(body), Seconds(30));
+    t->loop_.Stop();
+  }
+  http::ClientAnswer Ask(const std::string& method, const std::string& target,
+                         const std::string& body = "") {
+    http::ClientAnswer a;
+    loop_.Restart();
+    io::Spawn(Story(this, method, target, body, &a));
+    loop_.Run();
+    return a;
+  }
+  int Status(const std::string& method, const std::string& target, const std::string& body = "") {
+    return Ask(method, target, body).status;
+  }
+  int Run(const std::string& args, std::string* out) {
+    FILE* p = popen((std::string(BADGERSHORE_STATE) + " " + args + " 2>&1").c_str(), "r");
+    char buffer[512];
+    while (fgets(buffer, sizeof(buffer), p)) *out += buffer;
+    return WEXITSTATUS(pclose(p));
+  }
+
+  io::Loop loop_;
+  std::string root_, addr_;
+  pid_t pid_ = 0;
+  int status_ = 0;
+};
+
+TEST_F(StateProgram, KeepsWhatItHasAnsweredThroughAKill) {
+  Start();
+  EXPECT_EQ(Ask("POST", "/grants", R"({"lifeMs":600000})").body, R"({"tenancy":1})");
+  EXPECT_EQ(Status("POST", "/commit",
+                   R"({"then":[{"put":"a/b","value":{"x":[1,2.5,null]},"tenancy":1}]})"),
+            200);
+  EXPECT_EQ(Status("POST", "/commit", R"({"then":[{"put":"a/c","value":1}]})"), 200);
+  EXPECT_EQ(Status("POST", "/commit", R"({"then":[{"delete":"a/c"}]})"), 200);
+  Kill();
+  Start();
+  EXPECT_EQ(Ask("GET", "/store/a/b").body,
+            R"({"path":"a/b","value":{"x":[1,2.5,null]},"stamp":1,"tenancy":1})");
+  EXPECT_EQ(Status("GET", "/store/a/c"), 404);
+  EXPECT_EQ(Status("POST", "/grants/1/touch", "{}"), 200);
+  // A watch from before goes on, deletions included; a lease's number is not given again.
+  EXPECT_EQ(Ask("GET", "/changes?starts=a/&since=1&waitMs=0").body,
+            R"({"epoch":3,"log":[{"put":"a/c","value":1,"stamp":2},{"delete":"a/c","stamp":3}]})");
+  EXPECT_EQ(Ask("POST", "/grants", R"({"lifeMs":1000})").body, R"({"tenancy":2})");
+  EXPECT_EQ(Status("DELETE", "/grants/1"), 200);
+  EXPECT_EQ(Status("GET", "/store/a/b"), 404);
+  Kill(SIGTERM);
+  EXPECT_TRUE(WIFEXITED(status_) && WEXITSTATUS(status_) == 0);
+}
+
+TEST_F(StateProgram, SaysInOneLineWhatItCannotDo) {
+  Start();
+  std::string line;
+  const std::string data = root_ + "/data";
+  EXPECT_EQ(Run("serve --listen 127.0.0.1:0 --data " + data, &line), 1);
+  EXPECT_EQ(line, "badgershore-state: " + data + ": in use by another process\n");
+  line.clear();
+  EXPECT_EQ(Run("check --data " + data, &line), 0);
+  EXPECT_NE(line.find("is whole"), std::string::npos);
+  line.clear();
+  EXPECT_EQ(Run("check --data " + root_ + "/none", &line), 1);
+  EXPECT_EQ(line, "badgershore-state: " + root_ + "/none: no state here\n");
+  line.clear();
+  std::ofstream(root_ + "/bad.yaml") << "limits:\n  rsp: 1\n";
+  EXPECT_EQ(
+      Run("serve --check --listen 127.0.0.1:0 --data x --options " + root_ + "/bad.yaml", &line),
+      2);
+  EXPECT_NE(line.find("bad.yaml:2: limits.rsp: expected one of"), std::string::npos) << line;
+}
+
+// A disk with less room than is kept free is met before a write, and reads go on.
+TEST_F(StateProgram, RefusesChangesOnAFullDisk) {
+  Start("reserve_mb: 1099511627776\n");
+  EXPECT_EQ(Status("POST", "/commit", R"({"then":[{"put":"a","value":1}]})"), 503);
+  EXPECT_EQ(Status("GET", "/store/a"), 404);
+  Kill();
+  Start();
+  EXPECT_EQ(Status("GET", "/store/a"), 404);  // what was refused was not carried out
+  EXPECT_EQ(Status("POST", "/commit", R"({"then":[{"put":"a","value":1}]})"), 200);
+}
+
+TEST_F(StateProgram, KeepsItsLimits) {
+  Start("limits:\n  write_rps: 0.01\n  value_kb: 1\n  txn_ops: 3\n");
+  const std::string big(2000, 'x');
+  EXPECT_EQ(Status("POST", "/commit", R"({"then":[{"put":"a","value":")" + big + "\"}]}"), 400);
+  EXPECT_EQ(Status("POST", "/commit",
+                   R"({"then":[{"delete":"a"},{"delete":"b"},{"delete":"c"},{"delete":"d"}]})"),
+            400);
+  EXPECT_EQ(Status("POST", "/commit", R"({"then":[{"put":"a","value":1},{"put":"b","value":1}]})"),
+            200);
+  EXPECT_EQ(Status("POST", "/commit", R"({"then":[{"put":"a","value":1},{"put":"b","value":1}]})"),
+            429);
+}
+
+}  // namespace
+}  // namespace badgershore
