--- a/tests/store_disk_test.cpp
+++ b/tests/store_disk_test.cpp
@@ -155,7 +155,9 @@
     std::mt19937 random(seed);
     for (const auto& file : fs::directory_iterator(dir_)) {
       const std::string name = file.path().filename().string();
-      if (!name.ends_with(".log") && !name.ends_with(".sst")) continue;
+      if (!name.ends_with(".log") && !name.ends_with(".sst") && !name.starts_with("MANIFEST-")) {
+        continue;
+      }
       const uint64_t synced = *journal_->Synced(file.path().string());
       const uint64_t size = fs::file_size(file.path());
       if (size <= synced) continue;
