--- a/src/programs/state.cpp
+++ b/src/programs/state.cpp
@@ -30,7 +30,8 @@
   s.limits.value_bytes = static_cast<size_t>(limits.Number("value_kb", 0.1, 64, 64) * 1024);
   s.limits.commit_changes = static_cast<size_t>(limits.Whole("txn_ops", 1, 100000, 128));
   limits.NoOthers();
-  s.engine.reserve_bytes = static_cast<uint64_t>(top.Whole("reserve_mb", 0, int64_t{1} << 40, 64)) << 20;
+  s.engine.reserve_bytes = static_cast<uint64_t>(top.Whole("reserve_mb", 0, int64_t{1} << 40, 64))
+                           << 20;
   s.max_connections = top.Whole("max_connections", 1, 1 << 20, 4096);
   top.NoOthers();
   return s;
