--- a/src/rehearsal/users.cpp
+++ b/src/rehearsal/users.cpp
@@ -65,7 +65,7 @@
         e.facts = j.facts;
         e.facts.submitted_us = now_.count;
         See(e);
-        Submit(spec.id, now_, 0);
+        Submit(spec.id, now_);
       });
     }
   }
@@ -89,7 +89,7 @@
   return "node-" + std::to_string(order.empty() ? random_() % nodes_.size() : order.front());
 }
 
-void World::Submit(const std::string& job, Micros first, int tries) {
+void World::Submit(const std::string& job, Micros first) {
   wire::Call call{"POST", "/work", jobs_.at(job).body, Seconds(5)};
   Send("users", PickNode(), std::move(call), [=, this](int status, const std::string&) {
     UserJob& j = jobs_.at(job);
@@ -103,7 +103,7 @@
         Later(now_ + Between(1, 5), [this, job] { Poll(job, false); });
         // Now and then the answer is lost on its way back, and the job is submitted again.
         if (Chance() < 0.1)
-          Later(now_ + Between(1, 30), [this, job, first] { Submit(job, first, 0); });
+          Later(now_ + Between(1, 30), [this, job, first] { Submit(job, first); });
       }
       return See(e);
     }
@@ -117,7 +117,7 @@
       j.gave_up = true;
       return Note("gives up " + job);
     }
-    Later(now_ + Seconds(1), [=, this] { Submit(job, first, tries + 1); });
+    Later(now_ + Seconds(1), [=, this] { Submit(job, first); });
   });
 }
 
--- a/src/rehearsal/world.h
+++ b/src/rehearsal/world.h
@@ -110,7 +110,7 @@
 
   // Users.
   void PlanJobs();
-  void Submit(const std::string& job, Micros first, int tries);
+  void Submit(const std::string& job, Micros first);
   void Poll(const std::string& job, bool again);
   void Withdraw(const std::string& job);
   void AskUnknown();
--- a/src/store/machine.h
+++ b/src/store/machine.h
@@ -51,8 +51,6 @@
   void OnWritten(Micros now, uint64_t batch, Written written);
   // Ends leases and waits that are due. Call it at NextDeadline() at the latest.
   void Tick(Micros now);
-  // A client that waits no longer: its watch is dropped.
-  void Forget(Token token) { watches_.erase(token); }
   // An outage that was not the disk's has ended.
   void RenewLeases(Micros now);
 
