--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -75,9 +75,15 @@
     for (LogLine& line : out.log) {
       any = true;
       switch (line.level) {
-        case LogLine::Level::kError: spdlog::error("{}", line.text); break;
-        case LogLine::Level::kInfo: spdlog::info("{}", line.text); break;
-        case LogLine::Level::kDebug: spdlog::debug("{}", line.text); break;
+        case LogLine::Level::kError:
+          spdlog::error("{}", line.text);
+          break;
+        case LogLine::Level::kInfo:
+          spdlog::info("{}", line.text);
+          break;
+        case LogLine::Level::kDebug:
+          spdlog::debug("{}", line.text);
+          break;
       }
     }
     for (CheckinAnswer& a : out.checkins) {
@@ -129,8 +135,7 @@
   const RequestId id = op.id;
   http::Client client(loop_, op.endpoint, 0, http::Limits{8192, 16384, 1024 * 1024});
   std::string body = wire::FormatDirect(op);
-  http::ClientAnswer answer =
-      co_await client.Request("POST", "/do", std::move(body), Seconds(3));
+  http::ClientAnswer answer = co_await client.Request("POST", "/do", std::move(body), Seconds(3));
   DirectReply reply;
   if (answer.answered()) {
     reply.status = answer.status;
--- a/src/adapters/state_client.cpp
+++ b/src/adapters/state_client.cpp
@@ -50,7 +50,8 @@
 }
 
 io::Task<StateReply> StateClient::Run(StateOp op) {
-  const bool lease = op.kind == Kind::kTouch || op.kind == Kind::kGrant || op.kind == Kind::kRelease;
+  const bool lease =
+      op.kind == Kind::kTouch || op.kind == Kind::kGrant || op.kind == Kind::kRelease;
   const bool watch = op.kind == Kind::kWatch;
   if (!lease && !watch) {
     const bool granted = co_await Pace();
@@ -137,8 +138,8 @@
       reply.outcome = Outcome::kRefused;
       break;
     default:
-      reply.outcome = answer.status >= 200 && answer.status < 300 ? Outcome::kOk
-                                                                  : Outcome::kInvalid;
+      reply.outcome =
+          answer.status >= 200 && answer.status < 300 ? Outcome::kOk : Outcome::kInvalid;
   }
   co_return reply;
 }
--- a/src/core/autoscale.cpp
+++ b/src/core/autoscale.cpp
@@ -9,7 +9,7 @@
 constexpr Micros kRateWindow = Seconds(90);
 constexpr Micros kArrivalsKept = Seconds(120);
 constexpr Micros kGangMemory = Seconds(600);
-constexpr int kMostRented = 150;  // machines in one decision
+constexpr int kMostRented = 150;              // machines in one decision
 constexpr Micros kMinimumPaid = Seconds(60);  // a machine given back costs at least this much
 
 struct Room {
@@ -26,8 +26,8 @@
 
 }  // namespace
 
-Micros Autoscaler::Allowance(const JobSpec& spec,
-                             const std::vector<Objective>& objectives, double share) const {
+Micros Autoscaler::Allowance(const JobSpec& spec, const std::vector<Objective>& objectives,
+                             double share) const {
   if (spec.due) return *spec.due;
   for (const Objective& o : objectives) {
     if (o.lane == spec.lane && o.kind == "finished") return o.within.Scaled(share);
@@ -35,9 +35,9 @@
   return options_.drain_target + spec.estimate;
 }
 
-// How long the job's work may take from now on: until the first of its lane's aims, or its deadline,
-// that a machine rented now could still help to meet. What is late for all of them is worked off
-// at leisure.
+// How long the job's work may take from now on: until the first of its lane's aims, or its
+// deadline, that a machine rented now could still help to meet. What is late for all of them is
+// worked off at leisure.
 Micros Autoscaler::TimeLeft(const ScaleView& view, const Job& job, Micros boot) const {
   const JobSpec& s = job.spec;
   Micros best = kNever;
@@ -59,8 +59,8 @@
 
 void Autoscaler::Stream::Add(double work, Micros arrived, Micros now) {
   Fade(now);
-  const double share = std::exp(-std::max(0.0, (now - arrived).ToSeconds()) /
-                                kStreamWindow.ToSeconds());
+  const double share =
+      std::exp(-std::max(0.0, (now - arrived).ToSeconds()) / kStreamWindow.ToSeconds());
   sum += work * share;
   squares += work * work * share * share;
 }
@@ -88,8 +88,7 @@
 
 void Autoscaler::Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros now) {
   if (spec.shape != Shape::kArray || slack > boot.Scaled(1.5)) return;
-  const double work =
-      static_cast<double>(spec.need.cpu) * spec.tasks * spec.estimate.ToSeconds();
+  const double work = static_cast<double>(spec.need.cpu) * spec.tasks * spec.estimate.ToSeconds();
   urgent_.Add(work, now);
 }
 
@@ -188,8 +187,7 @@
       // What is about to end frees its room before a new machine would be up.
       if (o.job && o.job->gang() && o.state == RunState::kRunning) {
         const Micros ran = view.now - o.job->tasks[static_cast<size_t>(o.ref.task)].bound_at;
-        if (ran > o.job->spec.estimate.Scaled(0.8) &&
-            ran < o.job->spec.estimate.Scaled(1.3)) {
+        if (ran > o.job->spec.estimate.Scaled(0.8) && ran < o.job->spec.estimate.Scaled(1.3)) {
           continue;
         }
       }
@@ -419,8 +417,7 @@
     const bool gang_lately = for_gangs && view.now - m->gang_at < gang_limit;
     const Micros held = view.now - m->rented_at;
     if (m->idle_since.count >= 0) {
-      const Micros limit = m->retiring ? Seconds(0)
-                                       : m->type->boot.Scaled(options_.idle_boots);
+      const Micros limit = m->retiring ? Seconds(0) : m->type->boot.Scaled(options_.idle_boots);
       if (!gang_lately && view.now - m->idle_since >= limit && held >= kMinimumPaid) {
         plan->give_back.push_back(m);
         continue;
--- a/src/core/autoscale.h
+++ b/src/core/autoscale.h
@@ -24,7 +24,7 @@
 };
 struct ScalePlan {
   std::vector<RentPlan> rent;
-  std::vector<Machine*> retire;    // gets no new work, goes back when empty
+  std::vector<Machine*> retire;  // gets no new work, goes back when empty
   std::vector<Machine*> unretire;
   std::vector<Machine*> give_back;  // idle now
   std::set<const Machine*> keep;    // room for gangs that wait or may come
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -47,8 +47,7 @@
 std::string Controller::NeverRuns(const JobSpec& spec) const {
   const Team* team = settings_.FindTeam(spec.team);
   if (!team) return "unknown team";
-  const Resources all =
-      spec.shape == Shape::kArray ? spec.need : spec.need.Times(spec.tasks);
+  const Resources all = spec.shape == Shape::kArray ? spec.need : spec.need.Times(spec.tasks);
   if ((team->limit.cpu > 0 && all.cpu > team->limit.cpu) ||
       (team->limit.gpu > 0 && all.gpu > team->limit.gpu)) {
     return "more than the team's limit";
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -26,8 +26,8 @@
   Resources open;
 };
 
-// Gives a job's tasks out one after another, each to the machine that would have received least work
-// of the job's bucket, this task included. Among equals, to one that has the job's image.
+// Gives a job's tasks out one after another, each to the machine that would have received least
+// work of the job's bucket, this task included. Among equals, to one that has the job's image.
 class LeastReceived {
  public:
   LeastReceived(const Job& job, const std::vector<Able>& able);
@@ -39,7 +39,7 @@
     double received;  // with the next task
     bool fetches;     // has no image yet
     size_t index;
-    double each;      // a task's work there
+    double each;  // a task's work there
     bool operator>(const Turn& o) const {
       return std::tie(received, fetches, index) > std::tie(o.received, o.fetches, o.index);
     }
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -27,8 +27,8 @@
   enum class Kind { kGet, kList, kCommit, kGrant, kTouch, kRelease, kWatch };
   RequestId id = 0;
   Kind kind = Kind::kGet;
-  std::string key;       // key or prefix
-  std::string after;     // paging
+  std::string key;        // key or prefix
+  std::string after;      // paging
   uint64_t revision = 0;  // watch
   uint64_t lease = 0;
   Micros span;  // lease time or watch wait
--- a/src/core/election.h
+++ b/src/core/election.h
@@ -58,7 +58,8 @@
   bool renewing_ = false;
   // As the state service shows them.
   std::string leader_;
-  uint64_t lead_stamp_ = 0, lead_revision_ = 0, seen_term_ = 0, seen_term_stamp_ = 0, seen_baton_ = 0;
+  uint64_t lead_stamp_ = 0, lead_revision_ = 0, seen_term_ = 0, seen_term_stamp_ = 0,
+           seen_baton_ = 0;
   Micros stand_at_;
 };
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -66,7 +66,7 @@
   uint64_t session = 0, seq = 0;
   Micros heard_at{-1};  // last valid report
   Micros rented_at;
-  Micros probe_at;      // next direct call, if it is silent or unresolved
+  Micros probe_at;  // next direct call, if it is silent or unresolved
   bool probing = false;
   bool listed = false;
   Micros missing_since{-1};
@@ -74,8 +74,8 @@
 
   std::map<std::pair<TaskRef, uint64_t>, Occupant> occupants;
   std::map<QueueKey, QueueEntry> queue;
-  std::vector<double> work;  // received so far, by bucket
-  Micros gang_at;  // when a gang was last on it
+  std::vector<double> work;       // received so far, by bucket
+  Micros gang_at;                 // when a gang was last on it
   const Job* reserved = nullptr;  // a waiting gang that is to have room here
   int reserved_members = 0;
   bool retiring = false;
--- a/src/core/frontdesk.cpp
+++ b/src/core/frontdesk.cpp
@@ -50,8 +50,8 @@
   Answer(token, 200, id, d.running > 0 ? Phase::kRunning : Phase::kPending, d.done, d.running);
 }
 
-void Frontdesk::Read(RequestId token, const std::string& id, int missing_status,
-                     std::string reason, OnRead live) {
+void Frontdesk::Read(RequestId token, const std::string& id, int missing_status, std::string reason,
+                     OnRead live) {
   if (AnswerFinal(token, id)) return;
   asker_->State(GetOp(keys::kJob + id), [=, this](Micros, StateReply& job) {
     if (job.ok()) return live(job);
@@ -63,8 +63,9 @@
       if (end.outcome == StateReply::Outcome::kMissing) {
         return Refuse(token, missing_status, id, reason);
       }
-      const EndRecord* record =
-          end.ok() && !end.entries.empty() ? std::get_if<EndRecord>(&end.entries[0].value) : nullptr;
+      const EndRecord* record = end.ok() && !end.entries.empty()
+                                    ? std::get_if<EndRecord>(&end.entries[0].value)
+                                    : nullptr;
       if (!record) return Refuse(token, 503, id, "the state service can't be read");
       Remember(id, *record);
       AnswerFinal(token, id);
--- a/src/core/frontdesk.h
+++ b/src/core/frontdesk.h
@@ -11,8 +11,8 @@
 namespace badgershore {
 
 struct Submission {
-  std::string id;                // empty: not even an id could be read
-  std::optional<JobSpec> spec;   // absent: malformed
+  std::string id;               // empty: not even an id could be read
+  std::optional<JobSpec> spec;  // absent: malformed
   std::string reason;
 };
 
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -33,8 +33,8 @@
 
 struct Job {
   JobSpec spec;
-  uint64_t stamp = 0;   // version of its durable record
-  Micros arrived;       // on the leader's steady clock, from the time of day at submission
+  uint64_t stamp = 0;  // version of its durable record
+  Micros arrived;      // on the leader's steady clock, from the time of day at submission
   int bucket = 0;
   Micros start_by = kNever;  // by its lane's objective
   // When a task of it has to start to be done by one of its lane's aims: from, until.
@@ -45,18 +45,18 @@
   int running = 0;
   bool guaranteed = false;  // its team's unfinished jobs fit within the team's guarantee
   std::map<std::string, int> zone_count;  // tasks on machines, or perhaps there
-  bool finishing = false;  // all done, the end is being written
+  bool finishing = false;                 // all done, the end is being written
 
-  std::deque<int> waiting;                             // may hold tasks that have left kWaiting
-  std::deque<std::pair<int, Micros>> bound;            // (task, bound_at), oldest first
-  std::multimap<Micros, int> delayed;                  // after failures
+  std::deque<int> waiting;                   // may hold tasks that have left kWaiting
+  std::deque<std::pair<int, Micros>> bound;  // (task, bound_at), oldest first
+  std::multimap<Micros, int> delayed;        // after failures
   int queued = 0;
 
   uint64_t gang_attempt = 0;  // 0: not placed
   bool gang_ran = false;      // some member was seen running in this attempt
   bool gang_stopping = false;
-  bool reserving = false;     // machines are kept for it
-  Micros not_before;  // gangs: no new attempt before
+  bool reserving = false;  // machines are kept for it
+  Micros not_before;       // gangs: no new attempt before
 
   // Where the progress of each chunk of tasks is kept; null before any is done.
   std::vector<Pages::Page*> chunks;
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -99,19 +99,20 @@
   op.key = prefix;
   op.after = after;
   asker()->State(op, Guarded([=, this](Micros now, StateReply& r) {
-    if (!r.ok()) return LoadPrefix(prefix, after, each, done);
-    for (const Entry& e : r.entries) each(now, e);
-    if (r.more && !r.entries.empty()) return LoadPrefix(prefix, r.entries.back().key, each, done);
-    done(now);
-  }));
+                   if (!r.ok()) return LoadPrefix(prefix, after, each, done);
+                   for (const Entry& e : r.entries) each(now, e);
+                   if (r.more && !r.entries.empty())
+                     return LoadPrefix(prefix, r.entries.back().key, each, done);
+                   done(now);
+                 }));
 }
 
 void Leader::Loaded(Micros now) {
   if (--loading_ > 0) return;
   ready_ = true;
-  asker()->Info("term " + std::to_string(election()->term()) + " ready: " +
-                std::to_string(jobs_.size()) + " jobs, " + std::to_string(machines_.size()) +
-                " machines on record");
+  asker()->Info("term " + std::to_string(election()->term()) +
+                " ready: " + std::to_string(jobs_.size()) + " jobs, " +
+                std::to_string(machines_.size()) + " machines on record");
   for (auto& [id, job] : jobs_) {
     if (job->left() == 0) finish_queue_.push_back(id);
   }
@@ -333,8 +334,7 @@
   bool first = true;
   for (auto& [id, job] : jobs_) {
     if (job->gang()) continue;
-    least_need_ = std::exchange(first, false) ? job->spec.need
-                                              : Least(least_need_, job->spec.need);
+    least_need_ = std::exchange(first, false) ? job->spec.need : Least(least_need_, job->spec.need);
   }
   PlaceGangs(now);
   BindWaiting(now);
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -67,8 +67,7 @@
   // Loading and following durable records.
   void OnJobEntry(Micros now, const Entry& e);
   void LoadPrefix(const std::string& prefix, const std::string& after,
-                  std::function<void(Micros, const Entry&)> each,
-                  std::function<void(Micros)> done);
+                  std::function<void(Micros, const Entry&)> each, std::function<void(Micros)> done);
   void Loaded(Micros now);
   void LoadPiece(Micros now, Pages::Page* page, const ProgressPiece& piece);
   void LoadMachine(Micros now, Pages::Page* page, const MachineRecord& r);
--- a/src/core/leader_checkins.cpp
+++ b/src/core/leader_checkins.cpp
@@ -9,8 +9,8 @@
   if (!ready_ || tombstones_.count(report.machine)) return Verdict::kAnswer;
   Machine* m = Adopt(now, report.machine, report.endpoint, report.type, report.zone, report.spot);
   const bool fresh = Absorb(now, m, report, true);
-  m->alive_until = std::max(m->alive_until,
-                            now + settings().worker_lease.Scaled(1 + kClockDrift) + Millis(200));
+  m->alive_until =
+      std::max(m->alive_until, now + settings().worker_lease.Scaled(1 + kClockDrift) + Millis(200));
   // Starts go only to a worker that has seen this term: then no earlier leader's order counts.
   if (!fresh || report.baton != election()->term()) return Verdict::kAnswer;
   Resolve(now, m);
@@ -74,8 +74,7 @@
   if (job.gang() || !m.reserved) return room;
   // Where a waiting gang is to go, other work of no higher rank leaves it its room.
   const Job& gang = *m.reserved;
-  const bool first =
-      gang.spec.rank <= job.spec.rank || now - gang.arrived > options().age_limit;
+  const bool first = gang.spec.rank <= job.spec.rank || now - gang.arrived > options().age_limit;
   return first ? room - gang.spec.need.Times(m.reserved_members) : room;
 }
 
@@ -146,11 +145,11 @@
     ++it;
     const bool aged = job->Aged(now, options().age_limit);
     // The queue is in order of estimate, so among the others the first that fits stays.
-    const bool better = !best || (aged && !best_aged) ||
-                        (aged == best_aged &&
-                         ((job->guaranteed && !best->job->guaranteed) ||
-                          (aged && job->guaranteed == best->job->guaranteed &&
-                           job->arrived < best->job->arrived)));
+    const bool better =
+        !best || (aged && !best_aged) ||
+        (aged == best_aged &&
+         ((job->guaranteed && !best->job->guaranteed) ||
+          (aged && job->guaranteed == best->job->guaranteed && job->arrived < best->job->arrived)));
     if (!better) continue;
     if (!job->spec.need.Fits(RoomFor(*m, *job, *used, now)) || Held(*job) ||
         !ZoneAllows(*job, m->zone) || !LimitAllows(*job, 1)) {
@@ -195,8 +194,7 @@
   if (!best) return false;
   const int task = best->bound.front().first;
   best->bound.pop_front();
-  m->work[static_cast<size_t>(best->bucket)] +=
-      WorkOn(best->spec, m->type->size - m->GangUse());
+  m->work[static_cast<size_t>(best->bucket)] += WorkOn(best->spec, m->type->size - m->GangUse());
   StartOne(now, m, best, task, used, orders);
   return true;
 }
@@ -232,8 +230,7 @@
       job->waiting.push_back(job->delayed.begin()->second);
       job->delayed.erase(job->delayed.begin());
     }
-    if (job->gang() || job->waiting.empty() || job->queued >= options().bind_window ||
-        Held(*job)) {
+    if (job->gang() || job->waiting.empty() || job->queued >= options().bind_window || Held(*job)) {
       continue;
     }
     std::vector<Able> able;
--- a/src/core/leader_cloud.cpp
+++ b/src/core/leader_cloud.cpp
@@ -26,30 +26,30 @@
   asking_types_ = true;
   (void)now;
   asker()->Cloud(CloudOp{}, Guarded([this](Micros t, CloudReply& r) {
-    asking_types_ = false;
-    types_at_ = t + (r.ok() ? Seconds(30) : Seconds(2));
-    if (!r.ok()) return;
-    bool changed = !context_.types_known();
-    new_types_.clear();
-    for (const MachineType& type : r.types) {
-      new_types_[type.name] = type;
-      auto it = context_.types->find(type.name);
-      if (it == context_.types->end()) {
-        changed = true;
-        continue;
-      }
-      // Prices move all the time; they are followed here and not written again.
-      MachineType same = it->second;
-      same.price = type.price;
-      same.spot_price = type.spot_price;
-      if (same == type) {
-        it->second = type;
-      } else {
-        changed = true;
-      }
-    }
-    types_dirty_ = changed;
-  }));
+                   asking_types_ = false;
+                   types_at_ = t + (r.ok() ? Seconds(30) : Seconds(2));
+                   if (!r.ok()) return;
+                   bool changed = !context_.types_known();
+                   new_types_.clear();
+                   for (const MachineType& type : r.types) {
+                     new_types_[type.name] = type;
+                     auto it = context_.types->find(type.name);
+                     if (it == context_.types->end()) {
+                       changed = true;
+                       continue;
+                     }
+                     // Prices move all the time; they are followed here and not written again.
+                     MachineType same = it->second;
+                     same.price = type.price;
+                     same.spot_price = type.spot_price;
+                     if (same == type) {
+                       it->second = type;
+                     } else {
+                       changed = true;
+                     }
+                   }
+                   types_dirty_ = changed;
+                 }));
 }
 
 void Leader::ListMachines(Micros now, const std::string& after) {
@@ -57,32 +57,33 @@
   CloudOp op;
   op.kind = CloudOp::Kind::kList;
   op.after = after;
-  asker()->Cloud(op, Guarded([this](Micros t, CloudReply& r) {
-    listing_ = false;
-    list_at_ = t + Seconds(2);
-    if (!r.ok()) return;
-    for (const ListedMachine& l : r.listed) {
-      list_seen_.insert(l.id);
-      Listed(t, l);
-    }
-    if (r.more && !r.listed.empty()) {
-      listing_ = true;
-      return ListMachines(t, r.listed.back().id);
-    }
-    // Once listed, a machine stays listed until it is gone; but a list may be older than the one
-    // before, so an absence counts only after a while.
-    for (auto& [id, m] : machines_) {
-      if (!m->listed || m->stage == MachineStage::kReturning) continue;
-      if (list_seen_.count(id)) {
-        m->missing_since = {-1};
-      } else if (m->missing_since.count < 0) {
-        m->missing_since = t;
-      } else if (t - m->missing_since > settings().cloud_list_lag.Scaled(2) + Seconds(4) &&
-                 t - m->heard_at > options().silent_probe) {
-        GiveBack(t, m.get(), "gone from the cloud's list");
-      }
-    }
-  }));
+  asker()->Cloud(
+      op, Guarded([this](Micros t, CloudReply& r) {
+        listing_ = false;
+        list_at_ = t + Seconds(2);
+        if (!r.ok()) return;
+        for (const ListedMachine& l : r.listed) {
+          list_seen_.insert(l.id);
+          Listed(t, l);
+        }
+        if (r.more && !r.listed.empty()) {
+          listing_ = true;
+          return ListMachines(t, r.listed.back().id);
+        }
+        // Once listed, a machine stays listed until it is gone; but a list may be older than the
+        // one before, so an absence counts only after a while.
+        for (auto& [id, m] : machines_) {
+          if (!m->listed || m->stage == MachineStage::kReturning) continue;
+          if (list_seen_.count(id)) {
+            m->missing_since = {-1};
+          } else if (m->missing_since.count < 0) {
+            m->missing_since = t;
+          } else if (t - m->missing_since > settings().cloud_list_lag.Scaled(2) + Seconds(4) &&
+                     t - m->heard_at > options().silent_probe) {
+            GiveBack(t, m.get(), "gone from the cloud's list");
+          }
+        }
+      }));
 }
 
 void Leader::Listed(Micros now, const ListedMachine& l) {
@@ -131,26 +132,27 @@
   op.spot = rent.offer.spot;
   op.count = rent.count;
   asker()->Cloud(op, Guarded([this, name](Micros t, CloudReply& r) {
-    auto it = pending_.find(name);
-    if (it == pending_.end()) return;
-    PendingRent& p = it->second;
-    p.asking = false;
-    if (r.ok()) {
-      for (const std::string& id : r.rented) {
-        if (tombstones_.count(id)) continue;
-        Machine* m = Adopt(t, id, "", p.offer.type, p.offer.zone, p.offer.spot);
-        m->rented_at = std::min(m->rented_at, t);
-      }
-      if (r.rented.size() < static_cast<size_t>(p.count)) scaler_.Refused(p.offer, t);
-      pending_.erase(it);
-    } else if (r.outcome == CloudReply::Outcome::kUnknown && ++p.tries < 6) {
-      p.retry_at = t + Seconds(1);  // the same name: it may have been carried out
-    } else {
-      if (r.outcome == CloudReply::Outcome::kNoCapacity) scaler_.Refused(p.offer, t);
-      if (r.outcome == CloudReply::Outcome::kBusy) scale_at_ = t + Seconds(2);
-      pending_.erase(it);
-    }
-  }));
+                   auto it = pending_.find(name);
+                   if (it == pending_.end()) return;
+                   PendingRent& p = it->second;
+                   p.asking = false;
+                   if (r.ok()) {
+                     for (const std::string& id : r.rented) {
+                       if (tombstones_.count(id)) continue;
+                       Machine* m = Adopt(t, id, "", p.offer.type, p.offer.zone, p.offer.spot);
+                       m->rented_at = std::min(m->rented_at, t);
+                     }
+                     if (r.rented.size() < static_cast<size_t>(p.count))
+                       scaler_.Refused(p.offer, t);
+                     pending_.erase(it);
+                   } else if (r.outcome == CloudReply::Outcome::kUnknown && ++p.tries < 6) {
+                     p.retry_at = t + Seconds(1);  // the same name: it may have been carried out
+                   } else {
+                     if (r.outcome == CloudReply::Outcome::kNoCapacity) scaler_.Refused(p.offer, t);
+                     if (r.outcome == CloudReply::Outcome::kBusy) scale_at_ = t + Seconds(2);
+                     pending_.erase(it);
+                   }
+                 }));
 }
 
 void Leader::Scale(Micros now) {
@@ -233,8 +235,8 @@
     };
     asker()->Debug("paid " + offer.type + (offer.spot ? " (spot) " : " ") +
                    std::to_string(static_cast<int>(p.held)) + " s: boot " + percent(p.boot) +
-                   ", run " + percent(p.used) + ", fetch " + percent(p.fetching) +
-                   ", no work " + percent(p.short_of_work));
+                   ", run " + percent(p.used) + ", fetch " + percent(p.fetching) + ", no work " +
+                   percent(p.short_of_work));
   }
 }
 
@@ -247,15 +249,15 @@
   op.machines.assign(return_queue_.begin(), return_queue_.begin() + static_cast<long>(n));
   return_queue_.erase(return_queue_.begin(), return_queue_.begin() + static_cast<long>(n));
   asker()->Cloud(op, Guarded([this, names = op.machines](Micros t, CloudReply& r) {
-    returning_ = false;
-    if (!r.ok()) {
-      return_at_ = t + Seconds(1);
-      return_queue_.insert(return_queue_.end(), names.begin(), names.end());
-      return;
-    }
-    // The cloud's word is the proof that the machines and all on them are gone.
-    for (const std::string& id : names) Remove(t, id);
-  }));
+                   returning_ = false;
+                   if (!r.ok()) {
+                     return_at_ = t + Seconds(1);
+                     return_queue_.insert(return_queue_.end(), names.begin(), names.end());
+                     return;
+                   }
+                   // The cloud's word is the proof that the machines and all on them are gone.
+                   for (const std::string& id : names) Remove(t, id);
+                 }));
 }
 
 }  // namespace badgershore
--- a/src/core/leader_gangs.cpp
+++ b/src/core/leader_gangs.cpp
@@ -14,7 +14,8 @@
   const auto order = [&](const Job* j) {
     const bool late = now > j->start_by;
     const bool aged = now - j->arrived > options().age_limit.Scaled(late ? 3 : 1);
-    return std::make_tuple(!j->guaranteed, j->spec.rank, !aged, late, aged ? j->arrived : j->spec.estimate);
+    return std::make_tuple(!j->guaranteed, j->spec.rank, !aged, late,
+                           aged ? j->arrived : j->spec.estimate);
   };
   std::sort(gangs.begin(), gangs.end(),
             [&](const Job* a, const Job* b) { return order(a) < order(b); });
@@ -98,8 +99,8 @@
   }
   if (!gang.spec.need.Fits(m.type->size - kept)) return std::nullopt;
   if (!m.HasImage(gang.spec.image) && m.type->fetch_gb_per_s > 0) {
-    cost += gang.spec.image_gb / m.type->fetch_gb_per_s *
-            static_cast<double>(gang.spec.need.cpu) / 1000;
+    cost += gang.spec.image_gb / m.type->fetch_gb_per_s * static_cast<double>(gang.spec.need.cpu) /
+            1000;
   }
   return cost;
 }
@@ -141,8 +142,8 @@
       int& here = in_zone[c.machine->zone];
       if (gang->spec.spread && here >= (gang->spec.tasks + 1) / 2) continue;
       const Resources open = c.machine->type->size - c.machine->GangUse();
-      const auto holds = static_cast<int>(std::min<int64_t>(
-          open.Holds(gang->spec.need), gang->left() - members));
+      const auto holds =
+          static_cast<int>(std::min<int64_t>(open.Holds(gang->spec.need), gang->left() - members));
       members += holds;
       here += holds;
       sum += c.cost;
@@ -160,9 +161,8 @@
   for (const Choice& c : chosen) {
     Machine* m = c.machine;
     m->reserved = gang;
-    m->reserved_members = static_cast<int>(
-        std::min<int64_t>((m->type->size - m->GangUse()).Holds(gang->spec.need),
-                          gang->left() - members));
+    m->reserved_members = static_cast<int>(std::min<int64_t>(
+        (m->type->size - m->GangUse()).Holds(gang->spec.need), gang->left() - members));
     members += m->reserved_members;
     MakeWay(now, m, *gang);
   }
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -1,8 +1,8 @@
 // The reign's machines: what reports prove of each, silence, resolving after a takeover.
-#include "core/leader.h"
-
 #include <cmath>
 
+#include "core/leader.h"
+
 namespace badgershore {
 namespace {
 
@@ -126,9 +126,10 @@
   }
   if (op.orders.empty()) return;
   asker()->Direct(op, Guarded([this, id = m->id](Micros t, DirectReply& r) {
-    Machine* machine = FindMachine(id);
-    if (machine && r.report && r.status == 200) Absorb(t, machine, *r.report, false);
-  }));
+                    Machine* machine = FindMachine(id);
+                    if (machine && r.report && r.status == 200)
+                      Absorb(t, machine, *r.report, false);
+                  }));
 }
 
 // Raises the baton at a machine and learns what is on it.
@@ -142,21 +143,21 @@
   op.baton = election()->term();
   op.session = std::max<uint64_t>(m->session, 1);
   asker()->Direct(op, Guarded([this, id = m->id, asked = op.session](Micros t, DirectReply& r) {
-    Machine* machine = FindMachine(id);
-    if (!machine) return;
-    machine->probing = false;
-    if (!r.report || r.report->machine != id) return;
-    if (r.report->baton > election()->term()) {
-      return election()->StepDown(t, "machine " + id + " has seen a higher baton");
-    }
-    const bool known_session = r.report->session == asked;
-    if (r.status == 200 || !known_session) Absorb(t, machine, *r.report, false);
-    if (r.status == 200) {
-      Resolve(t, machine);
-    } else if (!known_session && !machine->resolved) {
-      Probe(t, machine);  // the session is known now
-    }
-  }));
+                    Machine* machine = FindMachine(id);
+                    if (!machine) return;
+                    machine->probing = false;
+                    if (!r.report || r.report->machine != id) return;
+                    if (r.report->baton > election()->term()) {
+                      return election()->StepDown(t, "machine " + id + " has seen a higher baton");
+                    }
+                    const bool known_session = r.report->session == asked;
+                    if (r.status == 200 || !known_session) Absorb(t, machine, *r.report, false);
+                    if (r.status == 200) {
+                      Resolve(t, machine);
+                    } else if (!known_session && !machine->resolved) {
+                      Probe(t, machine);  // the session is known now
+                    }
+                  }));
 }
 
 // Takes in what a report says. False: it is older than what is known.
@@ -263,8 +264,8 @@
     // A start that its check-in's successor doesn't list was not executed and never will be: the
     // worker has one report in flight and drops late answers. A direct call's report proves
     // nothing about a start that may still be on its way.
-    const bool gone = !o.unsent && !listed.count(it->first) &&
-                      (o.seen || (checkin && r.seq > o.sent_seq));
+    const bool gone =
+        !o.unsent && !listed.count(it->first) && (o.seen || (checkin && r.seq > o.sent_seq));
     if (!gone) {
       ++it;
       continue;
@@ -289,8 +290,7 @@
   Job* job = o->job;
   if (!job) return;
   TaskState& t = job->tasks[static_cast<size_t>(o->ref.task)];
-  const bool current =
-      t.stage == TaskStage::kPlaced && t.machine == m && t.attempt == o->attempt;
+  const bool current = t.stage == TaskStage::kPlaced && t.machine == m && t.attempt == o->attempt;
   if (cause == ExitCause::kDone) {
     m->failures_in_row = 0;
     m->failed_jobs.clear();
@@ -300,7 +300,8 @@
   }
   Micros pause;
   if (cause == ExitCause::kError) {
-    asker()->Debug("task " + o->ref.job + "/" + std::to_string(o->ref.task) + " failed on " + m->id);
+    asker()->Debug("task " + o->ref.job + "/" + std::to_string(o->ref.task) + " failed on " +
+                   m->id);
     if (std::find(job->failed_on.begin(), job->failed_on.end(), m->id) == job->failed_on.end() &&
         job->failed_on.size() < 8) {
       job->failed_on.push_back(m->id);
--- a/src/core/leader_writes.cpp
+++ b/src/core/leader_writes.cpp
@@ -156,8 +156,7 @@
     return Write(now);
   }
   const bool conflict = r.outcome == StateReply::Outcome::kConflict;
-  if (conflict &&
-      std::find(r.failed.begin(), r.failed.end(), keys::kTerm) != r.failed.end()) {
+  if (conflict && std::find(r.failed.begin(), r.failed.end(), keys::kTerm) != r.failed.end()) {
     return election()->StepDown(now, "the term has moved on");
   }
   write_at_ = now + (conflict ? Millis(0) : Millis(300));
@@ -172,9 +171,9 @@
     StateOp get;
     get.key = keys::kJob + id;
     asker()->State(get, Guarded([this, id](Micros t, StateReply& g) {
-      if (g.outcome == StateReply::Outcome::kMissing) return EndJob(t, id);
-      finish_queue_.push_back(id);
-    }));
+                     if (g.outcome == StateReply::Outcome::kMissing) return EndJob(t, id);
+                     finish_queue_.push_back(id);
+                   }));
   }
   for (const Batch::Piece& piece : batch->pieces) {
     piece.pages->Failed(piece.page, look, now);
@@ -186,15 +185,15 @@
   StateOp get;
   get.key = page->key;
   asker()->State(get, Guarded([this, pages, page](Micros t, StateReply& g) {
-    if (g.ok() && !g.entries.empty()) {
-      page->stamp = g.entries[0].stamp;
-    } else if (g.outcome == StateReply::Outcome::kMissing) {
-      page->stamp = 0;
-    }
-    // Not known still: the guard fails if it has changed, and it is looked at again.
-    page->unsure = false;
-    pages->Touch(page, true, t);
-  }));
+                   if (g.ok() && !g.entries.empty()) {
+                     page->stamp = g.entries[0].stamp;
+                   } else if (g.outcome == StateReply::Outcome::kMissing) {
+                     page->stamp = 0;
+                   }
+                   // Not known still: the guard fails if it has changed, and it is looked at again.
+                   page->unsure = false;
+                   pages->Touch(page, true, t);
+                 }));
 }
 
 }  // namespace badgershore
--- a/src/core/pages.cpp
+++ b/src/core/pages.cpp
@@ -26,7 +26,8 @@
     // One that is to be written anyway costs nothing more; else the fullest that has room.
     for (auto& p : pages_) {
       if (p->bytes + bytes > room_) continue;
-      if (!page || std::make_pair(p->urgent, p->bytes) > std::make_pair(page->urgent, page->bytes)) {
+      if (!page ||
+          std::make_pair(p->urgent, p->bytes) > std::make_pair(page->urgent, page->bytes)) {
         page = p.get();
       }
     }
--- a/src/core/pages.h
+++ b/src/core/pages.h
@@ -20,10 +20,10 @@
     std::set<std::string> items;
     size_t bytes = 0;
     bool dirty = false;
-    bool urgent = false;   // something waits for it
+    bool urgent = false;  // something waits for it
     bool writing = false;
-    bool unsure = false;   // its version has to be read before it can be written again
-    Micros since;          // dirty since then
+    bool unsure = false;  // its version has to be read before it can be written again
+    Micros since;         // dirty since then
   };
 
   // `room`: most bytes of items in a page.
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -22,9 +22,9 @@
 
 bool IsToken(std::string_view s) {
   return !s.empty() && std::all_of(s.begin(), s.end(), [](char c) {
-           return std::isalnum(static_cast<unsigned char>(c)) ||
-                  std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-         });
+    return std::isalnum(static_cast<unsigned char>(c)) ||
+           std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+  });
 }
 
 bool ParseNumber(std::string_view s, int base, size_t* out) {
@@ -35,17 +35,28 @@
 
 std::string_view Reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 408: return "Request Timeout";
-    case 413: return "Payload Too Large";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Entity";
-    case 429: return "Too Many Requests";
-    default: return "Service Unavailable";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Payload Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Entity";
+    case 429:
+      return "Too Many Requests";
+    default:
+      return "Service Unavailable";
   }
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -30,7 +30,17 @@
 class Parser {
  public:
   enum class Kind { kRequest, kResponse };
-  enum class State { kStartLine, kHeaders, kBody, kChunkSize, kChunkData, kChunkEnd, kTrailer, kDone, kBad };
+  enum class State {
+    kStartLine,
+    kHeaders,
+    kBody,
+    kChunkSize,
+    kChunkData,
+    kChunkEnd,
+    kTrailer,
+    kDone,
+    kBad
+  };
 
   explicit Parser(Kind kind, Limits limits = {}) : kind_(kind), limits_(limits) {}
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -49,8 +49,7 @@
     }
     if (!open) break;
     if (parser.bad()) {
-      const std::string out =
-          FormatResponse(400, "{\"error\":\"bad request\"}", 0, true);
+      const std::string out = FormatResponse(400, "{\"error\":\"bad request\"}", 0, true);
       co_await socket.WriteAll(out, io::Loop::Now() + kWrite);
       break;
     }
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -32,7 +32,7 @@
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
-  static Micros Now();          // steady
+  static Micros Now();  // steady
   static int64_t TimeOfDayMs();
 
   void Run();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,14 +16,18 @@
 bool SetUpLog() {
   const char* level = std::getenv("LOG_LEVEL");
   const std::string name = level ? level : "info";
-  auto logger = std::make_shared<spdlog::logger>(
-      "badgershore", std::make_shared<spdlog::sinks::stderr_sink_st>());
+  auto logger = std::make_shared<spdlog::logger>("badgershore",
+                                                 std::make_shared<spdlog::sinks::stderr_sink_st>());
   logger->set_pattern("%l %v");
   spdlog::set_default_logger(logger);
-  if (name == "error") spdlog::set_level(spdlog::level::err);
-  else if (name == "info") spdlog::set_level(spdlog::level::info);
-  else if (name == "debug") spdlog::set_level(spdlog::level::debug);
-  else return false;
+  if (name == "error")
+    spdlog::set_level(spdlog::level::err);
+  else if (name == "info")
+    spdlog::set_level(spdlog::level::info);
+  else if (name == "debug")
+    spdlog::set_level(spdlog::level::debug);
+  else
+    return false;
   return true;
 }
 
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -71,7 +71,8 @@
         break;
       }
       if (pending.size() < 4 + *size) break;
-      if (auto note = Decode(std::string_view(pending).substr(4, *size))) on_note_(std::move(*note));
+      if (auto note = Decode(std::string_view(pending).substr(4, *size)))
+        on_note_(std::move(*note));
       pending.erase(0, 4 + *size);
     }
     if (bad) break;
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -45,7 +45,8 @@
 
 std::optional<size_t> BodySize(std::string_view four) {
   size_t n = 0;
-  for (size_t i = 0; i < 4; ++i) n |= static_cast<size_t>(static_cast<unsigned char>(four[i])) << (8 * i);
+  for (size_t i = 0; i < 4; ++i)
+    n |= static_cast<size_t>(static_cast<unsigned char>(four[i])) << (8 * i);
   if (n == 0 || n > kMostBytes) return std::nullopt;
   return n;
 }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -14,10 +14,14 @@
 
 const char* PhaseName(Phase p) {
   switch (p) {
-    case Phase::kPending: return "pending";
-    case Phase::kRunning: return "running";
-    case Phase::kDone: return "done";
-    case Phase::kWithdrawn: return "withdrawn";
+    case Phase::kPending:
+      return "pending";
+    case Phase::kRunning:
+      return "running";
+    case Phase::kDone:
+      return "done";
+    case Phase::kWithdrawn:
+      return "withdrawn";
   }
   return "pending";
 }
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -150,8 +150,8 @@
     const Value* machines = Find(v, "machines");
     if (!machines || !machines->IsArray()) return page;
     for (const Value& m : machines->GetArray()) {
-      page.machines.push_back({Text(m, "id"), Text(m, "endpoint"), Text(m, "type"),
-                               Text(m, "zone"), Flag(m, "spot")});
+      page.machines.push_back(
+          {Text(m, "id"), Text(m, "endpoint"), Text(m, "type"), Text(m, "zone"), Flag(m, "spot")});
     }
     return page;
   }
