--- a/src/adapters/state_client.cpp
+++ b/src/adapters/state_client.cpp
@@ -59,49 +59,11 @@
   }
   const bool dark = unanswered_ >= 3 && io::Loop::Now() - answered_at_ > Seconds(2);
   if (dark && !lease && !watch && trying_ > 0) co_return Refused();
-  std::string method = "GET", target, body;
-  Micros timeout = Millis(1500);
-  switch (op.kind) {
-    case Kind::kGet:
-      target = "/store/" + op.key;
-      break;
-    case Kind::kList:
-      target = "/store?starts=" + op.key + "&limit=500";
-      if (!op.after.empty()) target += "&since=" + op.after;
-      timeout = Seconds(4);
-      break;
-    case Kind::kCommit:
-      method = "POST";
-      target = "/commit";
-      body = wire::FormatCommit(op);
-      break;
-    case Kind::kGrant:
-      method = "POST";
-      target = "/grants";
-      body = wire::FormatGrant(op);
-      timeout = Millis(1000);
-      break;
-    case Kind::kTouch:
-      method = "POST";
-      target = "/grants/" + std::to_string(op.lease) + "/touch";
-      body = "{}";
-      timeout = Millis(1000);
-      break;
-    case Kind::kRelease:
-      method = "DELETE";
-      target = "/grants/" + std::to_string(op.lease);
-      timeout = Millis(1000);
-      break;
-    case Kind::kWatch:
-      target = "/changes?starts=" + op.key + "&since=" + std::to_string(op.revision) +
-               "&waitMs=" + std::to_string(op.span.ToMillis());
-      timeout = op.span + Seconds(3);
-      break;
-  }
+  wire::Call call = wire::FormatStateCall(op);
   http::Client& client = watch ? watches_ : requests_;
   ++trying_;
-  http::ClientAnswer answer =
-      co_await client.Request(std::move(method), std::move(target), std::move(body), timeout);
+  http::ClientAnswer answer = co_await client.Request(
+      std::move(call.method), std::move(call.target), std::move(call.body), call.timeout);
   --trying_;
   StateReply reply;
   if (!answer.answered()) {
@@ -112,36 +74,7 @@
   }
   unanswered_ = 0;
   answered_at_ = io::Loop::Now();
-  bool good = true;
-  switch (answer.status) {
-    case 200:
-      reply.outcome = Outcome::kOk;
-      if (op.kind == Kind::kGet) good = wire::ParseEntry(answer.body, &reply);
-      if (op.kind == Kind::kList) good = wire::ParseEntries(answer.body, &reply);
-      if (op.kind == Kind::kCommit) good = wire::ParseCommit(answer.body, &reply);
-      if (op.kind == Kind::kGrant) good = wire::ParseGrant(answer.body, &reply);
-      if (op.kind == Kind::kWatch) good = wire::ParseChanges(answer.body, &reply);
-      if (!good) reply.outcome = Outcome::kUnknown;
-      break;
-    case 404:
-      reply.outcome = Outcome::kMissing;
-      break;
-    case 409:
-      reply.outcome = Outcome::kConflict;
-      wire::ParseCommit(answer.body, &reply);
-      break;
-    case 410:
-      reply.outcome = Outcome::kCompacted;
-      break;
-    case 429:
-    case 503:
-      reply.outcome = Outcome::kRefused;
-      break;
-    default:
-      reply.outcome =
-          answer.status >= 200 && answer.status < 300 ? Outcome::kOk : Outcome::kInvalid;
-  }
-  co_return reply;
+  co_return wire::ParseStateAnswer(op, answer.status, answer.body);
 }
 
 }  // namespace badgershore::adapters
--- /dev/null
+++ b/src/agent/core/agent.cpp
@@ -0,0 +1,274 @@
+#include "agent/core/agent.h"
+
+#include <algorithm>
+
+namespace badgershore::agent {
+namespace {
+
+constexpr Micros kLeastGap = Millis(500);
+constexpr Micros kRetry = Seconds(1);
+
+}  // namespace
+
+Agent::Agent(Settings settings, uint64_t jitter, Micros now)
+    : settings_(std::move(settings)),
+      jitter_(jitter | 1),
+      lease_end_(now + settings_.lease),
+      sent_at_(now - kLeastGap),
+      report_at_(now) {
+  at_ = jitter_ / 2 % settings_.controllers.size();
+}
+
+Resources Agent::Used() const {
+  Resources used;
+  for (const auto& [key, held] : tasks_) {
+    if (held.state != RunState::kExited && held.spec) used = used + held.spec->need;
+  }
+  return used;
+}
+
+bool Agent::ImageWanted(const std::string& image) const {
+  return std::any_of(tasks_.begin(), tasks_.end(), [&](const auto& t) {
+    return t.second.state == RunState::kFetching && t.second.spec && t.second.spec->image == image;
+  });
+}
+
+void Agent::Exit(const TaskKey& key, Held* held, ExitCause cause, bool saved) {
+  const bool fetched = held->state == RunState::kFetching && held->spec;
+  held->state = RunState::kExited;
+  held->cause = cause;
+  held->saved = saved;
+  held->waits_until = kNever;
+  if (std::exchange(held->launched, false)) Say(Command::Kind::kKill).task = key;
+  if (fetched) {
+    auto image = images_.find(held->spec->image);
+    if (image != images_.end() && !image->second && !ImageWanted(image->first)) {
+      Say(Command::Kind::kGiveUp).text = image->first;
+      images_.erase(image);
+    }
+  }
+  Changed();
+}
+
+void Agent::Start(Micros, const Order& order) {
+  const TaskKey key{order.ref, order.attempt};
+  if (tasks_.contains(key)) return;  // in any state, refused and exited included
+  Held& held = tasks_[key];
+  Changed();
+  for (auto it = tasks_.lower_bound({order.ref, 0});
+       it != tasks_.end() && it->first.ref == order.ref; ++it) {
+    if (it->first == key || it->second.state == RunState::kExited) continue;
+    return Exit(key, &held, ExitCause::kBusy, false);
+  }
+  Say(Command::Kind::kDescribe).text = order.ref.job;
+}
+
+void Agent::OnDescription(Micros now, const std::string& job, std::optional<JobSpec> spec) {
+  for (auto& [key, held] : tasks_) {
+    if (key.ref.job != job || held.spec || held.state != RunState::kFetching) continue;
+    if (!spec || key.ref.task >= spec->tasks) {
+      Exit(key, &held, ExitCause::kUnknown, false);
+      continue;
+    }
+    const Resources room = settings_.size - Used();
+    held.spec = spec;
+    if (!spec->need.Fits(room)) {
+      // What is refused holds nothing; exiting by the ordinary way would give up a fetch.
+      held.state = RunState::kExited;
+      held.cause = ExitCause::kFull;
+      Changed();
+      continue;
+    }
+    Admit(now, key, &held);
+  }
+}
+
+void Agent::Admit(Micros now, const TaskKey& key, Held* held) {
+  auto image = images_.find(held->spec->image);
+  if (image != images_.end() && image->second) return Launch(now, key, held);
+  if (image != images_.end()) return;  // on its way for another task
+  images_[held->spec->image] = false;
+  Command& fetch = Say(Command::Kind::kFetch);
+  fetch.text = held->spec->image;
+  fetch.gb = held->spec->image_gb;
+}
+
+void Agent::Launch(Micros now, const TaskKey& key, Held* held) {
+  const bool gang = held->spec->shape == Shape::kGang;
+  held->state = gang ? RunState::kGathering : RunState::kRunning;
+  if (gang) held->waits_until = now + settings_.gang_wait;
+  held->launched = true;
+  Say(Command::Kind::kLaunch).task = key;
+  Changed();
+}
+
+void Agent::OnImage(Micros now, const std::string& image) {
+  auto it = images_.find(image);
+  if (it == images_.end()) return;
+  it->second = true;
+  for (auto& [key, held] : tasks_) {
+    if (held.state == RunState::kFetching && held.spec && held.spec->image == image) {
+      Launch(now, key, &held);
+    }
+  }
+}
+
+void Agent::OnGangComplete(Micros, const TaskKey& task) {
+  auto it = tasks_.find(task);
+  if (it == tasks_.end() || it->second.state != RunState::kGathering) return;
+  it->second.state = RunState::kRunning;
+  it->second.waits_until = kNever;
+  Changed();
+}
+
+void Agent::OnExit(Micros, const TaskKey& task, ExitCause cause, bool saved) {
+  auto it = tasks_.find(task);
+  if (it == tasks_.end() || it->second.state == RunState::kExited) return;
+  it->second.launched = false;  // it is gone already
+  Exit(task, &it->second, cause, saved);
+}
+
+void Agent::Halt(Micros, const Order& order) {
+  const TaskKey key{order.ref, order.attempt};
+  auto it = tasks_.find(key);
+  if (it == tasks_.end() || it->second.state == RunState::kExited) return;
+  Held& held = it->second;
+  const bool can_save = held.spec && held.spec->checkpoint_every > Micros{};
+  if (held.state == RunState::kFlushing && order.grace > Micros{}) return;  // is at it
+  if (held.state == RunState::kRunning && can_save && order.grace >= held.spec->save_time) {
+    held.state = RunState::kFlushing;
+    Say(Command::Kind::kSave).task = key;
+    return Changed();
+  }
+  Exit(key, &held, ExitCause::kHalted, false);
+}
+
+void Agent::Obey(Micros now, const std::vector<Order>& orders) {
+  for (const Order& order : orders) {
+    switch (order.verb) {
+      case Order::Verb::kStart:
+        Start(now, order);
+        break;
+      case Order::Verb::kHalt:
+        Halt(now, order);
+        break;
+      case Order::Verb::kClear: {
+        auto it = tasks_.find({order.ref, order.attempt});
+        if (it == tasks_.end() || it->second.state != RunState::kExited) break;
+        tasks_.erase(it);
+        Changed();
+      }
+    }
+  }
+}
+
+void Agent::SeeBaton(Micros now, uint64_t baton) {
+  if (baton <= baton_) return;
+  baton_ = baton;
+  if (now < baton_change_from_) return;
+  baton_change_from_ = now + settings_.lease.Scaled(0.5);
+  Changed();
+}
+
+int Agent::OnDirect(Micros now, uint64_t baton, uint64_t session,
+                    const std::vector<Order>& orders) {
+  Tick(now);  // a lease that has run out meanwhile ends first
+  if (baton < baton_ || session != session_) return 409;
+  SeeBaton(now, baton);
+  Obey(now, orders);
+  return 200;
+}
+
+Report Agent::Status() {
+  Report r;
+  r.machine = settings_.machine.id;
+  r.endpoint = settings_.machine.endpoint;
+  r.type = settings_.machine.type;
+  r.zone = settings_.machine.zone;
+  r.spot = settings_.machine.spot;
+  r.session = session_;
+  r.seq = ++tally_;
+  r.baton = baton_;
+  for (const auto& [key, held] : tasks_) {
+    r.tasks.push_back({key.ref, key.attempt, held.state, held.cause, held.saved});
+  }
+  return r;
+}
+
+void Agent::SetNotice(Micros now, std::optional<Micros> left) {
+  notice_at_ = left ? std::optional<Micros>(now + *left) : std::nullopt;
+  Changed();
+}
+
+void Agent::SendReport(Micros now) {
+  reporting_ = true;
+  changed_ = false;
+  sent_at_ = now;
+  reported_session_ = session_;
+  Command& c = Say(Command::Kind::kReport);
+  c.report_id = ++report_id_;
+  c.controller = at_;
+  c.report = Status();
+  if (notice_at_) c.report.notice = std::max(Micros{}, *notice_at_ - now);
+}
+
+// When the next report is due, a quarter more or less than the interval.
+void Agent::Next(Micros) {
+  jitter_ = jitter_ * 6364136223846793005ULL + 1442695040888963407ULL;
+  const double share = 0.75 + 0.5 * static_cast<double>(jitter_ >> 40) / (1 << 24);
+  report_at_ = sent_at_ + std::max(kLeastGap, settings_.report_every.Scaled(share));
+}
+
+void Agent::OnAnswer(Micros now, uint64_t report_id, const CheckinAnswer& answer) {
+  if (!reporting_ || report_id != report_id_) return;
+  reporting_ = false;
+  Next(now);
+  Tick(now);
+  if (answer.status == 200) {
+    // One with a lower token is dropped and renews nothing; this node is kept all the same.
+    if (reported_session_ != session_ || answer.baton < baton_ || answer.baton == 0) return;
+    lease_end_ = std::max(lease_end_, sent_at_ + settings_.lease);
+    SeeBaton(now, answer.baton);
+    return Obey(now, answer.orders);
+  }
+  const auto& names = settings_.controllers;
+  const auto named = std::find(names.begin(), names.end(), answer.leader);
+  if (answer.status == 421 && named != names.end() &&
+      static_cast<size_t>(named - names.begin()) != at_) {
+    at_ = static_cast<size_t>(named - names.begin());
+    report_at_ = std::max(now, sent_at_ + kLeastGap);
+    return;
+  }
+  at_ = (at_ + 1) % names.size();
+  report_at_ = now + kRetry;
+}
+
+void Agent::NextSession(Micros now) {
+  for (auto& [key, held] : tasks_) {
+    if (held.state != RunState::kExited) Exit(key, &held, ExitCause::kHalted, false);
+  }
+  tasks_.clear();
+  ++session_;
+  lease_end_ = now + settings_.lease;
+  Changed();
+}
+
+void Agent::Tick(Micros now) {
+  if (now > lease_end_) NextSession(now);
+  for (auto& [key, held] : tasks_) {
+    if (held.waits_until <= now) Exit(key, &held, ExitCause::kAlone, false);
+  }
+  if (!reporting_ && (now >= report_at_ || (changed_ && now >= sent_at_ + kLeastGap))) {
+    SendReport(now);
+  }
+}
+
+Micros Agent::NextDeadline() const {
+  Micros next = lease_end_ + Micros{1};
+  if (!reporting_)
+    next = std::min(next, changed_ ? std::min(report_at_, sent_at_ + kLeastGap) : report_at_);
+  for (const auto& [key, held] : tasks_) next = std::min(next, held.waits_until);
+  return next;
+}
+
+}  // namespace badgershore::agent
--- /dev/null
+++ b/src/agent/core/agent.h
@@ -0,0 +1,124 @@
+// A worker as a state machine: PROTOCOL "Workers", "Gangs" and "Controller nodes -> workers" from
+// the worker's side. It knows no clock, socket or process: it says when to report, what to fetch
+// and which tasks to start and stop, and is told what came of it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/effects.h"
+#include "core/types.h"
+
+namespace badgershore::agent {
+
+struct Settings {
+  MachineRecord machine;
+  Resources size;
+  std::vector<std::string> controllers;  // names, in the order in which they are tried
+  Micros report_every, lease, gang_wait;
+};
+
+struct TaskKey {
+  TaskRef ref;
+  uint64_t attempt = 0;
+  auto operator<=>(const TaskKey&) const = default;
+};
+
+// What the machine is to do. Everything is done in order.
+struct Command {
+  enum class Kind {
+    kReport,    // send `report` to `controller`; one is under way at a time
+    kDescribe,  // fetch the description of job `text`
+    kFetch,     // fetch image `text` of `gb`
+    kGiveUp,    // nobody waits for image `text` any more
+    kLaunch,    // the image is there: run the task, or let it wait for its gang
+    kSave,      // let the task save and end
+    kKill,      // end the task now; nothing of it may be left when this has been done
+  };
+  Kind kind = Kind::kReport;
+  uint64_t report_id = 0;
+  size_t controller = 0;
+  Report report;
+  std::string text;
+  double gb = 0;
+  TaskKey task;
+};
+
+class Agent {
+ public:
+  // `jitter` spreads reports: each comes 0.75 to 1.25 of the interval after the one before.
+  Agent(Settings settings, uint64_t jitter, Micros now);
+
+  void Tick(Micros now);
+  Micros NextDeadline() const;
+
+  // The answer to a report; status 0: none within the time, or no connection.
+  void OnAnswer(Micros now, uint64_t report_id, const CheckinAnswer& answer);
+  // POST /do. The report to answer with is Status() afterwards; 200 or 409.
+  int OnDirect(Micros now, uint64_t baton, uint64_t session, const std::vector<Order>& orders);
+  Report Status();  // takes a new sequence number
+
+  void OnDescription(Micros now, const std::string& job, std::optional<JobSpec> spec);
+  void OnImage(Micros now, const std::string& image);
+  void OnGangComplete(Micros now, const TaskKey& task);  // waiting is over: it runs
+  // A task has ended by itself, or after kSave. What it was killed for is known here already.
+  void OnExit(Micros now, const TaskKey& task, ExitCause cause, bool saved);
+  void SetNotice(Micros now, std::optional<Micros> left);
+
+  std::vector<Command> Take() { return std::exchange(out_, {}); }
+  uint64_t session() const { return session_; }
+  uint64_t baton() const { return baton_; }
+  size_t tasks() const { return tasks_.size(); }
+
+ private:
+  struct Held {
+    RunState state = RunState::kFetching;
+    ExitCause cause = ExitCause::kNone;
+    bool saved = false;
+    bool launched = false;
+    std::optional<JobSpec> spec;
+    Micros waits_until = kNever;  // a gang's task that waits for the others
+  };
+
+  void Obey(Micros now, const std::vector<Order>& orders);
+  void Start(Micros now, const Order& order);
+  void Halt(Micros now, const Order& order);
+  void Admit(Micros now, const TaskKey& key, Held* held);
+  void Launch(Micros now, const TaskKey& key, Held* held);
+  void Exit(const TaskKey& key, Held* held, ExitCause cause, bool saved);
+  void SeeBaton(Micros now, uint64_t baton);
+  void NextSession(Micros now);
+  void SendReport(Micros now);
+  void Next(Micros now);
+  void Changed() { changed_ = true; }
+  bool ImageWanted(const std::string& image) const;
+  Resources Used() const;
+  Command& Say(Command::Kind kind) {
+    out_.emplace_back();
+    out_.back().kind = kind;
+    return out_.back();
+  }
+
+  Settings settings_;
+  uint64_t jitter_;
+  std::map<TaskKey, Held> tasks_;
+  std::map<std::string, bool> images_;  // wanted or had: is it there?
+  std::optional<Micros> notice_at_;     // when the machine is taken back
+  uint64_t session_ = 1, tally_ = 0, baton_ = 0;
+  Micros lease_end_;
+  // Reporting.
+  size_t at_ = 0;
+  uint64_t report_id_ = 0;
+  bool reporting_ = false;
+  uint64_t reported_session_ = 0;
+  Micros sent_at_, report_at_;
+  bool changed_ = false;
+  Micros baton_change_from_;  // a higher baton counts as a change again from here on
+  std::vector<Command> out_;
+};
+
+}  // namespace badgershore::agent
--- /dev/null
+++ b/src/programs/rehearse.cpp
@@ -0,0 +1,253 @@
+// badgershore-rehearse: plays nights and says what they broke.
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <thread>
+
+#include "config/config.h"
+#include "programs/common.h"
+#include "rehearsal/world.h"
+#include "store/disk/archive.h"
+#include "wire/json.h"
+
+namespace {
+
+using namespace badgershore;
+using rehearsal::Night;
+using rehearsal::Result;
+
+std::string g_nights = "nights";
+
+// A file, or the name of a kept night.
+std::string FileOf(const std::string& night) {
+  if (std::filesystem::exists(night)) return night;
+  const std::string kept = g_nights + "/" + night + ".yaml";
+  if (!std::filesystem::exists(kept)) {
+    throw config::Error(night + ": expected a file or a night kept in " + g_nights);
+  }
+  return kept;
+}
+
+std::string FinalText(const Result& r) {
+  std::string out;
+  for (const auto& [id, phase] : r.final_states) out += id + " " + phase + "\n";
+  return out;
+}
+
+// Jobs whose withdrawal races their end may be either.
+std::string FinalSha(const Night& night, Result r) {
+  for (const std::string& id : night.either) {
+    if (r.final_states.contains(id) && r.final_states[id] != "open") r.final_states[id] = "either";
+  }
+  return store::Sha256(FinalText(r));
+}
+
+double Quantile(std::vector<double> v, double q) {
+  if (v.empty()) return 0;
+  std::sort(v.begin(), v.end());
+  return v[std::min(v.size() - 1, static_cast<size_t>(q * static_cast<double>(v.size())))];
+}
+
+std::string Json(const Night& night, const Result& r, double wall_s) {
+  wire::Writer w;
+  w.Begin().Put("night", r.night).Put("seed", r.seed).Put("time", "simulated");
+  w.Key("jobs").Begin().Put("done", r.done).Put("withdrawn", r.withdrawn).Put("open", r.open).End();
+  w.Put("final_states_sha256", FinalSha(night, r));
+  w.Put("history_sha256", store::Sha256(r.history));
+  w.Key("broken").BeginList();
+  for (const auto& b : r.broken) {
+    w.Begin().Put("rule", b.rule).Put("at_s", b.at_s).Put("detail", b.detail).End();
+  }
+  w.EndList().Key("waits").Begin();
+  for (const auto& [lane, waits] : r.waits) {
+    w.Key(lane.c_str()).Begin().Put("p50_s", Quantile(waits, 0.5));
+    w.Put("p90_s", Quantile(waits, 0.9)).Put("p99_s", Quantile(waits, 0.99)).End();
+  }
+  w.End().Put("price", r.price).Put("wall_s", wall_s).Put("simulated_s", r.simulated_s);
+  return w.End().Done();
+}
+
+void Print(const Night& night, const Result& r, double wall_s) {
+  std::printf("%s, seed %llu: %d done, %d withdrawn, %d open; final states %.12s, history %.12s\n",
+              r.night.c_str(), static_cast<unsigned long long>(r.seed), r.done, r.withdrawn, r.open,
+              FinalSha(night, r).c_str(), store::Sha256(r.history).c_str());
+  for (const auto& [lane, waits] : r.waits) {
+    std::printf("  %-20s %5zu jobs, done within %.0f s (half), %.0f s (90%%), %.0f s (99%%)\n",
+                lane.c_str(), waits.size(), Quantile(waits, 0.5), Quantile(waits, 0.9),
+                Quantile(waits, 0.99));
+  }
+  std::printf("  %.0f s played in %.1f s; price %.2f\n", r.simulated_s, wall_s, r.price);
+  size_t shown = 0;
+  for (const auto& b : r.broken) {
+    if (++shown > 10) break;
+    std::printf("  broken: %s at %.3f s: %s\n", b.rule.c_str(), b.at_s, b.detail.c_str());
+  }
+  if (r.broken.size() > 10) std::printf("  and %zu more\n", r.broken.size() - 10);
+}
+
+Result Play(const Night& night, uint64_t seed, double* wall_s) {
+  const auto start = std::chrono::steady_clock::now();
+  Result r = rehearsal::World(night, seed).Run();
+  *wall_s = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+  return r;
+}
+
+std::string Read(const std::string& file) { return config::ReadFile(file); }
+
+int RunNight(const std::string& file, uint64_t seed, const std::string& json,
+             const std::string& evidence) {
+  const Night night = rehearsal::LoadNight(file);
+  double wall_s = 0;
+  const Result r = Play(night, seed, &wall_s);
+  Print(night, r, wall_s);
+  if (!json.empty()) {
+    std::ofstream out(json);
+    out << Json(night, r, wall_s) << "\n";
+    if (!out.flush()) throw config::Error(json + ": can't be written");
+  }
+  if (!evidence.empty()) {
+    store::ArchiveWriter out(evidence);
+    out.Add("night.yaml", Read(file));
+    out.Add("history.txt", r.history);
+    out.Add("log.txt", r.log);
+    out.Add("final-states.txt", FinalText(r));
+    out.Add("result.json", Json(night, r, wall_s) + "\n");
+    out.Finish();
+  }
+  return r.clean() ? 0 : 1;
+}
+
+// Drops troubles, one at a time, while the night still breaks: the least one that does.
+void Shrink(Night night, uint64_t seed) {
+  for (size_t i = 0; i < night.troubles.size();) {
+    Night less = night;
+    less.troubles.erase(less.troubles.begin() + static_cast<std::ptrdiff_t>(i));
+    if (rehearsal::World(less, seed).Run().clean()) {
+      ++i;
+    } else {
+      night = std::move(less);
+    }
+  }
+  std::printf("the least that still breaks: %zu troubles, at", night.troubles.size());
+  for (const auto& t : night.troubles) std::printf(" %.1f s", t.at.ToSeconds());
+  std::printf("\n");
+}
+
+int Explore(const std::string& file, const std::string& seeds, int jobs) {
+  const size_t dots = seeds.find("..");
+  char* end = nullptr;
+  const uint64_t first = std::strtoull(seeds.c_str(), &end, 10);
+  if (dots == std::string::npos || end != seeds.c_str() + dots) {
+    throw config::Error("--seeds: expected A..B");
+  }
+  const uint64_t last = std::strtoull(seeds.c_str() + dots + 2, &end, 10);
+  if (*end != '\0' || last < first) throw config::Error("--seeds: expected A..B");
+  const Night night = rehearsal::LoadNight(file);
+  std::atomic<uint64_t> next{first}, played{0};
+  std::atomic<bool> stop{false};
+  std::mutex mutex;
+  std::map<std::string, int> finals;
+  std::optional<Result> bad;
+  double slowest = 0;
+  const bool tty = ::isatty(STDERR_FILENO) == 1;
+  const auto work = [&] {
+    for (;;) {
+      const uint64_t seed = next++;
+      if (seed > last || stop) return;
+      double wall_s = 0;
+      Result r = Play(night, seed, &wall_s);
+      const std::lock_guard<std::mutex> lock(mutex);
+      ++played;
+      slowest = std::max(slowest, wall_s);
+      ++finals[FinalSha(night, r)];
+      if (tty)
+        std::fprintf(stderr, "\r%llu of %llu", static_cast<unsigned long long>(played),
+                     static_cast<unsigned long long>(last - first + 1));
+      if (!r.clean() && (!bad || r.seed < bad->seed)) {
+        bad = std::move(r);
+        stop = true;
+      }
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < jobs; ++i) threads.emplace_back(work);
+  for (std::thread& t : threads) t.join();
+  if (tty) std::fprintf(stderr, "\n");
+  std::printf("%s: %llu seeds, slowest %.1f s", night.name.c_str(),
+              static_cast<unsigned long long>(played), slowest);
+  for (const auto& [sha, count] : finals) std::printf("; %.12s %d times", sha.c_str(), count);
+  std::printf("\n");
+  if (bad) {
+    Print(night, *bad, 0);
+    std::printf("replay: badgershore-rehearse run %s --seed %llu\n", file.c_str(),
+                static_cast<unsigned long long>(bad->seed));
+    Shrink(night, bad->seed);
+    return 1;
+  }
+  if (finals.size() == 1) return 0;
+  std::printf("the final states differ between seeds\n");
+  return 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"badgershore-rehearse: plays nights, and whole sites on one machine"};
+  app.set_version_flag("--version", std::string("badgershore-rehearse ") + BADGERSHORE_VERSION);
+  app.require_subcommand(1);
+  std::string name, json, evidence, seeds = "1..50", log_format = "text";
+  uint64_t seed = 1;
+  int jobs = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
+  programs::AddLogFormat(&app, &log_format);
+  app.add_option("--nights", g_nights, "The folder of kept nights")->capture_default_str();
+  const auto verb = [&](const char* verb_name, const char* help) {
+    CLI::App* sub = app.add_subcommand(verb_name, help);
+    sub->fallthrough();
+    return sub;
+  };
+  CLI::App* run = verb("run", "Play a night; exit 1 where a rule is broken or a job stays open");
+  run->add_option("night", name, "A kept night's name, or a file")->required();
+  run->add_option("--seed", seed, "All chance comes from it")->capture_default_str();
+  run->add_option("--json", json, "Write the result there");
+  run->add_option("--evidence", evidence, "Write night, logs, history and final states (tar.zst)");
+  CLI::App* explore = verb("explore", "Play a night with many seeds; stop at a broken rule");
+  explore->add_option("night", name, "A kept night's name, or a file")->required();
+  explore->add_option("--seeds", seeds, "A..B")->capture_default_str();
+  explore->add_option("--jobs", jobs, "So many at a time")->check(CLI::Range(1, 256));
+  CLI::App* list = verb("list", "List the kept nights");
+  CLI::App* check = verb("check", "Check a night's file");
+  check->add_option("night", name, "A kept night's name, or a file")->required();
+  if (const int code = programs::Parse(&app, argc, argv); code >= 0) return code;
+  if (!programs::SetUpLog("badgershore-rehearse", log_format)) return programs::kBadInput;
+  try {
+    if (*list) {
+      std::vector<std::string> files;
+      for (const auto& f : std::filesystem::directory_iterator(g_nights)) {
+        if (f.path().extension() == ".yaml") files.push_back(f.path().string());
+      }
+      std::sort(files.begin(), files.end());
+      for (const std::string& f : files) {
+        const Night night = rehearsal::LoadNight(f);
+        std::printf("%-28s %s\n", night.name.c_str(), night.about.c_str());
+      }
+      return 0;
+    }
+    const std::string file = FileOf(name);
+    if (*run) return RunNight(file, seed, json, evidence);
+    if (*explore) return Explore(file, seeds, jobs);
+    const Night night = rehearsal::LoadNight(file);
+    std::printf("%s is good: %zu classes, %zu troubles\n", night.name.c_str(), night.classes.size(),
+                night.troubles.size());
+    return 0;
+  } catch (const config::Error& e) {
+    std::fprintf(stderr, "badgershore-rehearse: %s\n", e.what());
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "badgershore-rehearse: %s\n", e.what());
+  }
+  return programs::kBadInput;
+}
--- /dev/null
+++ b/src/rehearsal/checker.cpp
@@ -0,0 +1,188 @@
+#include <cstdio>
+
+#include "rehearsal/history.h"
+
+namespace badgershore::rehearsal {
+namespace {
+constexpr int64_t kSecond = 1000000;
+constexpr int64_t kForgotten = 90 * kSecond;
+using Kind = Event::Kind;
+}  // namespace
+
+std::string Line(const Event& e) {
+  static const char* const kNames[] = {
+      "submitted",  "accepted",     "rejected", "withdraws", "told",      "unknown", "no-answer",
+      "machine-up", "machine-gone", "task-on",  "task-off",  "task-done", "note"};
+  char head[64];
+  std::snprintf(head, sizeof(head), "%.6f %s", static_cast<double>(e.at_us) / kSecond,
+                kNames[static_cast<int>(e.kind)]);
+  std::string out = head;
+  if (!e.job.empty()) out += " " + e.job;
+  if (e.kind >= Kind::kTaskOn && e.kind <= Kind::kTaskDone) out += "/" + std::to_string(e.task);
+  if (!e.machine.empty()) out += " " + e.machine;
+  if (e.number != 0) out += " " + std::to_string(e.number);
+  if (!e.text.empty()) out += " " + e.text;
+  return out;
+}
+
+void Checker::Say(const Event& e, const char* rule, const std::string& detail) {
+  broken_.push_back({rule, static_cast<double>(e.at_us) / kSecond, detail});
+}
+
+std::vector<Checker::Place> Checker::PlacesOf(const Job& job) const {
+  std::vector<Place> out;
+  for (const auto& [task, machines] : job.on) {
+    for (const auto& [machine, attempt] : machines) {
+      out.push_back({machine, machines_.at(machine).zone});
+    }
+  }
+  return out;
+}
+
+void Checker::Started(const Event& e, Job* job) {
+  const std::string task = e.job + "/" + std::to_string(e.task);
+  any_started_ = true;
+  for (const auto& [machine, attempt] : job->on[e.task]) {
+    if (machine != e.machine) Say(e, "ran_twice", task + " on " + machine + " and " + e.machine);
+  }
+  const Machine& m = machines_[e.machine];
+  const JobFacts& f = job->facts;
+  if (m.spot && !f.spot_ok) Say(e, "wrong_place", task + " on a spot machine");
+  if (!f.zone.empty() && f.zone != m.zone) Say(e, "wrong_place", task + " in zone " + m.zone);
+  int there = 1;
+  for (const Place& p : PlacesOf(*job)) {
+    if (f.same_zone && p.zone != m.zone) Say(e, "wrong_place", task + " apart in " + m.zone);
+    there += p.zone == m.zone;
+  }
+  if (f.spread && there > (f.tasks + 1) / 2) Say(e, "wrong_place", task + " crowds " + m.zone);
+  job->on[e.task][e.machine] = e.number;
+  auto& used = used_[f.team];
+  used.first += f.cpu_m;
+  used.second += f.gpu_m;
+  const auto limit = bounds_.limits.find(f.team);
+  if (limit != bounds_.limits.end() &&
+      ((limit->second.first > 0 && used.first > limit->second.first) ||
+       (limit->second.second > 0 && used.second > limit->second.second))) {
+    Say(e, "quota", f.team + " uses " + std::to_string(used.first) + " thousandths of a CPU");
+  }
+}
+
+void Checker::CheckCancelled(int64_t at_us) {
+  for (const std::string& id : withdrawn_) {
+    Job& job = jobs_[id];
+    if (at_us - job.withdrawn_at <= static_cast<int64_t>(bounds_.cancel_s * kSecond)) continue;
+    for (const Place& p : PlacesOf(job)) {
+      Event e;
+      e.at_us = at_us;
+      Say(e, "ran_cancelled", id + " still on " + p.machine);
+    }
+  }
+}
+
+void Checker::See(const Event& e) {
+  if (e.kind == Kind::kMachineUp) {
+    machines_[e.machine] = {e.text, e.number == 1, false};
+    return;
+  }
+  if (e.kind == Kind::kNote || e.kind == Kind::kMachineGone) {
+    CheckCancelled(e.at_us);
+    return;
+  }
+  Job& job = jobs_[e.job];
+  switch (e.kind) {
+    case Kind::kSubmitted:
+      job.facts = e.facts;
+      job.submitted = true;
+      return;
+    case Kind::kAccepted:
+      job.accepted = true;
+      job.silent_since = -1;
+      others_answered_at_ = e.at_us;
+      return;
+    case Kind::kRejected:
+      if (job.accepted) Say(e, "forgotten", e.job + " refused again: " + std::to_string(e.number));
+      return;
+    case Kind::kUnknownJob:
+      if (job.accepted) Say(e, "forgotten", e.job + " answered 404");
+      others_answered_at_ = e.at_us;
+      return;
+    case Kind::kNoAnswer:
+      if (!job.accepted) return;
+      if (job.silent_since < 0) job.silent_since = e.at_us;
+      // Others must have been answered all the while, not just before it began.
+      if (e.at_us - job.silent_since >= kForgotten && e.at_us - others_answered_at_ < 5 * kSecond) {
+        Say(e, "forgotten", e.job + " not answered for 90 s");
+        job.silent_since = -1;
+      }
+      return;
+    case Kind::kWithdraws:
+      job.asked_withdrawal = true;
+      return;
+    case Kind::kTold: {
+      others_answered_at_ = e.at_us;
+      job.silent_since = -1;
+      if (!job.submitted) Say(e, "invented", e.job + " told as " + e.text);
+      const bool final = e.text == "done" || e.text == "withdrawn";
+      if (!job.final_phase.empty() && job.final_phase != e.text) {
+        Say(e, "went_back", e.job + " was " + job.final_phase + ", now " + e.text);
+      }
+      if (e.text == "withdrawn" && !job.asked_withdrawal) {
+        Say(e, "went_back", e.job + " withdrawn without being asked");
+      }
+      if (e.text == "done" && job.final_phase.empty() &&
+          static_cast<int>(job.done.size()) < job.facts.tasks) {
+        Say(e, "not_done",
+            e.job + " with " + std::to_string(job.done.size()) + " of " +
+                std::to_string(job.facts.tasks) + " tasks done");
+      }
+      if (final && job.final_phase.empty()) {
+        job.final_phase = e.text;
+        if (e.text == "withdrawn") {
+          job.withdrawn_at = e.at_us;
+          withdrawn_.insert(e.job);
+        }
+      }
+      return;
+    }
+    case Kind::kTaskOn:
+      CheckCancelled(e.at_us);
+      if (job.withdrawn_at >= 0 &&
+          e.at_us - job.withdrawn_at > static_cast<int64_t>(bounds_.cancel_s * kSecond)) {
+        Say(e, "ran_cancelled", e.job + " starts on " + e.machine);
+      }
+      Started(e, &job);
+      return;
+    case Kind::kTaskDone:
+      job.done.insert(e.task);
+      return;
+    case Kind::kTaskOff: {
+      if (job.on[e.task].erase(e.machine) == 0) return;
+      if (job.on[e.task].empty()) job.on.erase(e.task);
+      auto& used = used_[job.facts.team];
+      used.first -= job.facts.cpu_m;
+      used.second -= job.facts.gpu_m;
+      return;
+    }
+    default:
+      return;
+  }
+}
+
+void Checker::End(int64_t at_us) {
+  CheckCancelled(at_us);
+  if (!any_started_) {
+    Event e;
+    e.at_us = at_us;
+    Say(e, "nothing_ran", "no task was started");
+  }
+}
+
+std::map<std::string, std::string> Checker::FinalStates() const {
+  std::map<std::string, std::string> out;
+  for (const auto& [id, job] : jobs_) {
+    if (job.accepted) out[id] = job.final_phase.empty() ? "open" : job.final_phase;
+  }
+  return out;
+}
+
+}  // namespace badgershore::rehearsal
--- /dev/null
+++ b/src/rehearsal/cloud.h
@@ -0,0 +1,58 @@
+// The cloud as PROTOCOL "Controller nodes -> cloud" has it, emulated: requests in, answers out,
+// and through the callbacks the machines that come and go.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "rehearsal/night.h"
+#include "store/limits.h"
+#include "wire/messages.h"
+
+namespace badgershore::rehearsal {
+
+class Cloud {
+ public:
+  struct Machine {
+    std::string id, type, zone;
+    bool spot = false;
+    Micros asked, up = kNever, failed = kNever, gone = kNever;
+  };
+  struct Hooks {
+    std::function<void(Micros at, std::function<void()>)> later;
+    std::function<void(const Machine&)> up;
+    std::function<void(const Machine&)> gone;
+  };
+  Cloud(const Night& night, uint64_t seed, Hooks hooks);
+
+  // Machines that are up from the beginning.
+  void Begin(Micros now);
+  std::pair<int, std::string> Handle(Micros now, const wire::Call& call);
+  void Take(Micros now, const std::string& id);  // by the cloud itself, or a machine's death
+  double Spent(Micros now) const;
+
+  // Troubles.
+  bool down = false, empty = false;
+  double vanish_share = 0, never_share = 0;
+  const std::map<std::string, Machine>& machines() const { return machines_; }
+
+ private:
+  const NightType* Type(const std::string& name) const;
+  std::string Add(Micros now, const NightType& type, const std::string& zone, bool spot);
+  std::pair<int, std::string> Rent(Micros now, const std::string& body);
+  std::string List(Micros now, const std::string& after);
+  double Chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+  const Night& night_;
+  std::mt19937_64 random_;
+  Hooks hooks_;
+  store::RateLimit rate_;
+  std::map<std::string, Machine> machines_;  // ever
+  std::map<std::string, std::string> hires_;
+  int next_ = 0;
+};
+
+}  // namespace badgershore::rehearsal
--- /dev/null
+++ b/src/rehearsal/history.h
@@ -0,0 +1,98 @@
+// What happened in a night, as those outside the controllers saw it. No core headers here: the
+// checker must not share the controllers' notions.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace badgershore::rehearsal {
+
+struct JobFacts {
+  std::string id, team, lane;
+  int tasks = 0;
+  int64_t cpu_m = 0, gpu_m = 0;  // of a task, in thousandths
+  std::string zone;              // empty: any
+  bool same_zone = false, spread = false, spot_ok = false;
+  int64_t submitted_us = 0;
+};
+
+struct Event {
+  enum class Kind {
+    kSubmitted,   // facts; the first attempt
+    kAccepted,    // 201 or 200 to a submission
+    kRejected,    // 400 or 422 to a submission
+    kWithdraws,   // its user asks for cancellation
+    kTold,        // 200 to a poll or withdrawal; text: the phase
+    kUnknownJob,  // 404 to a poll
+    kNoAnswer,    // a poll got nothing useful
+    kMachineUp,   // machine, text: zone, number: 1 for spot
+    kMachineGone,
+    kTaskOn,    // has its image on the machine
+    kTaskOff,   // exited, killed
+    kTaskDone,  // completed
+    kNote,      // text
+  };
+  int64_t at_us = 0;
+  Kind kind = Kind::kNote;
+  std::string job, machine, text;
+  int task = 0;
+  uint64_t number = 0;  // attempt, status
+  JobFacts facts;
+};
+std::string Line(const Event& e);
+
+struct Broken {
+  std::string rule;
+  double at_s = 0;
+  std::string detail;
+};
+
+// Reads a history as it grows and finds what breaks PROTOCOL "Rules".
+class Checker {
+ public:
+  struct Bounds {
+    double cancel_s = 40;
+    std::map<std::string, std::pair<int64_t, int64_t>> limits;  // team -> cpu, gpu; 0: none
+  };
+  explicit Checker(Bounds bounds) : bounds_(std::move(bounds)) {}
+  void See(const Event& e);
+  void End(int64_t at_us);
+  const std::vector<Broken>& broken() const { return broken_; }
+  // Accepted jobs and their last known phase: done, withdrawn or open.
+  std::map<std::string, std::string> FinalStates() const;
+
+ private:
+  struct Place {
+    std::string machine, zone;
+  };
+  struct Job {
+    JobFacts facts;
+    bool submitted = false, accepted = false, asked_withdrawal = false;
+    std::string final_phase;
+    int64_t withdrawn_at = -1, silent_since = -1;
+    std::set<int> done;
+    std::map<int, std::map<std::string, uint64_t>> on;  // task -> machine -> attempt
+  };
+  struct Machine {
+    std::string zone;
+    bool spot = false, gone = false;
+  };
+  void Say(const Event& e, const char* rule, const std::string& detail);
+  void Started(const Event& e, Job* job);
+  void CheckCancelled(int64_t at_us);
+  std::vector<Place> PlacesOf(const Job& job) const;
+
+  Bounds bounds_;
+  std::map<std::string, Job> jobs_;
+  std::map<std::string, Machine> machines_;
+  std::map<std::string, std::pair<int64_t, int64_t>> used_;
+  std::set<std::string> withdrawn_;
+  int64_t others_answered_at_ = 0;
+  bool any_started_ = false;
+  std::vector<Broken> broken_;
+};
+
+}  // namespace badgershore::rehearsal
--- /dev/null
+++ b/src/rehearsal/night.cpp
@@ -0,0 +1,140 @@
+#include "rehearsal/night.h"
+
+#include <algorithm>
+
+#include "config/yaml.h"
+
+namespace badgershore::rehearsal {
+namespace {
+
+using config::YamlMap;
+
+int64_t Milli(YamlMap* m, const char* key, double otherwise) {
+  return std::llround(m->Number(key, 0, 1e6, otherwise) * 1000);
+}
+
+NightType ReadType(YamlMap m) {
+  NightType t;
+  t.type.name = m.Text("name");
+  t.type.size = {Milli(&m, "cpus", 1), Milli(&m, "gpus", 0), Milli(&m, "mem_gb", 1)};
+  t.type.price = m.Number("price", 0.0001, 1e6, 1);
+  t.type.spot_price = m.Number("spot_price", 0.0001, 1e6, t.type.price / 3);
+  t.type.boot = m.Span("boot_s", 0.1, 3600, 30);
+  t.type.fetch_gb_per_s = m.Number("fetch_gb_per_s", 0.001, 1e3, 1);
+  t.type.image_cache_gb = m.Number("cache_gb", 0, 1e6, 100);
+  t.type.zones = m.Texts("zones");
+  t.capacity = static_cast<int>(m.Whole("capacity", 0, 100000, 0));
+  t.spot_capacity = static_cast<int>(m.Whole("spot_capacity", 0, 100000, 0));
+  t.up = static_cast<int>(m.Whole("up", 0, 100000, 0));
+  m.NoOthers();
+  return t;
+}
+
+NightClass ReadClass(YamlMap m, const PlatformSettings& site) {
+  NightClass c;
+  c.spec.lane = m.Text("name");
+  c.spec.team = m.Text("team", site.teams.at(0).name);
+  if (!site.FindTeam(c.spec.team)) m.Fail("team", "one of the site's teams");
+  c.spec.shape = static_cast<Shape>(m.OneOf("shape", {"array", "gang"}, 0));
+  c.spec.rank = static_cast<Rank>(m.OneOf("rank", {"production", "high", "normal", "idle"}, 2));
+  c.least_tasks = static_cast<int>(m.Whole("least_tasks", 1, 100000, 1));
+  c.most_tasks = static_cast<int>(m.Whole("most_tasks", c.least_tasks, 100000, c.least_tasks));
+  c.spec.need = {Milli(&m, "cpus", 1), Milli(&m, "gpus", 0), Milli(&m, "mem_gb", 1)};
+  c.spec.image_gb = m.Number("image_gb", 0, 1e4, 1);
+  c.images = static_cast<int>(m.Whole("images", 1, 1000, 1));
+  c.run = m.Span("run_s", 0.1, 1e5);
+  c.spec.estimate = m.Span("expect_s", 0, 1e5, c.run.ToSeconds());
+  c.spec.checkpoint_every = m.Span("save_every_s", 0, 1e5, 0);
+  c.spec.save_time = m.Span("save_s", 0, 1e4, 1);
+  if (m.Has("due_s")) c.spec.due = m.Span("due_s", 0, 1e6);
+  c.spec.same_zone = m.Flag("same_zone", false);
+  c.spec.spread = m.Flag("spread", false);
+  c.spec.spot_ok = m.Flag("spot", false);
+  c.per_minute = m.Number("per_minute", 0, 1e4, 0);
+  c.at_start = static_cast<int>(m.Whole("at_start", 0, 10000, 0));
+  m.NoOthers();
+  return c;
+}
+
+Trouble ReadTrouble(YamlMap m, Micros end) {
+  Trouble t;
+  t.kind = static_cast<Trouble::Kind>(
+      m.OneOf("kind", {"cloud_down", "cloud_empty", "grants_vanish", "boots_never", "spot_wave",
+                       "state_down", "state_mute", "state_late", "state_restart", "disk_full",
+                       "kill", "cut", "machines_fail", "machines_die"}));
+  t.at = m.Span("at_s", 0, end.ToSeconds());
+  t.span = m.Span("for_s", 0, end.ToSeconds(), 0);
+  t.share = m.Number("share", 0, 1, 1);
+  if (t.kind == Trouble::Kind::kKill || t.kind == Trouble::Kind::kCut) t.who = m.Text("who");
+  if (t.kind == Trouble::Kind::kCut) t.whom = m.Text("whom");
+  m.NoOthers();
+  return t;
+}
+
+}  // namespace
+
+Night LoadNight(const std::string& file) {
+  YamlMap top = YamlMap::Load(file);
+  Night n;
+  const size_t slash = file.rfind('/');
+  n.name = file.substr(slash == std::string::npos ? 0 : slash + 1);
+  n.name = n.name.substr(0, n.name.rfind('.'));
+  n.about = top.Text("about");
+  n.duration = top.Span("duration_s", 1, 86400);
+  n.settle = top.Span("settle_s", 1, 86400, 900);
+  PlatformSettings& s = n.site;
+  YamlMap site = top.Map("site");
+  s.zones = site.Texts("zones");
+  if (s.zones.empty()) s.zones = {"a"};
+  s.site = s.zones[0];
+  s.report_every = site.Span("report_s", 0.5, 60, 1);
+  s.worker_lease = site.Span("lease_s", 2, 600, 10);
+  s.gang_wait = site.Span("gang_wait_s", 1, 600, 30);
+  s.gang_peer = site.Span("gang_peer_s", 0.5, 60, 6);
+  s.cancel_within = site.Span("cancel_s", s.worker_lease.ToSeconds() + 1, 3600, 40);
+  s.state_rps = site.Number("state_rps", 1, 1e6, 250);
+  s.state_write_rps = site.Number("state_write_rps", 1, 1e6, 15);
+  s.state_value_kb = site.Number("state_value_kb", 1, 64, 8);
+  s.state_txn_ops = static_cast<int>(site.Whole("state_txn_ops", 3, 1000, 8));
+  s.cloud_rps = site.Number("cloud_rps", 0.1, 1e4, 5);
+  s.cloud_list_lag = site.Span("cloud_list_lag_s", 0, 120, 3);
+  n.boot_spread = site.Number("boot_spread", 0, 0.5, 0.4);
+  site.NoOthers();
+  top.Each("teams", [&](YamlMap m) {
+    Team t;
+    t.name = m.Text("name");
+    t.guarantee.cpu = Milli(&m, "cpus", 0);
+    t.limit.cpu = Milli(&m, "cpus_max", 0);
+    m.NoOthers();
+    s.teams.push_back(t);
+  });
+  if (s.teams.empty()) top.Fail("teams", "at least one team");
+  top.Each("objectives", [&](YamlMap m) {
+    Objective o;
+    o.kind = m.Text("kind");
+    o.lane = m.Text("class");
+    o.within = m.Span("within_s", 0.1, 1e6);
+    o.share = m.Number("share", 0, 1, 0.9);
+    m.NoOthers();
+    s.objectives.push_back(o);
+  });
+  top.Each("machine_types", [&](YamlMap m) { n.types.push_back(ReadType(std::move(m))); });
+  if (n.types.empty()) top.Fail("machine_types", "at least one type");
+  for (NightType& t : n.types) {
+    if (t.type.zones.empty()) t.type.zones = s.zones;
+  }
+  top.Each("classes", [&](YamlMap m) { n.classes.push_back(ReadClass(std::move(m), s)); });
+  if (n.classes.empty()) top.Fail("classes", "at least one class");
+  top.Each("withdrawals", [&](YamlMap m) {
+    n.withdrawals.push_back({m.Text("job"), m.Span("at_s", 0, 1e6)});
+    m.NoOthers();
+  });
+  n.either = top.Texts("either");
+  top.Each("troubles", [&](YamlMap m) {
+    n.troubles.push_back(ReadTrouble(std::move(m), n.duration + n.settle));
+  });
+  top.NoOthers();
+  return n;
+}
+
+}  // namespace badgershore::rehearsal
--- /dev/null
+++ b/src/rehearsal/night.h
@@ -0,0 +1,64 @@
+// A night to rehearse, read from YAML: the site, what arrives, and what goes wrong when.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+
+namespace badgershore::rehearsal {
+
+struct NightType {
+  MachineType type;
+  int capacity = 0, spot_capacity = 0, up = 0;
+};
+struct NightClass {
+  JobSpec spec;  // the id and the number of tasks are given by job
+  int least_tasks = 1, most_tasks = 1, images = 1, at_start = 0;
+  double per_minute = 0;
+  Micros run;
+};
+struct Withdrawal {
+  std::string job;
+  Micros at;
+};
+struct Trouble {
+  // A fault, from `at` for `span`; `who` and `whom` name hosts: leader, node-0 .. node-2, state,
+  // cloud, users, machines or zone-NAME.
+  enum class Kind {
+    kCloudDown,
+    kCloudEmpty,
+    kGrantsVanish,
+    kBootsNever,
+    kSpotWave,
+    kStateDown,
+    kStateMute,
+    kStateLate,
+    kStateRestart,
+    kDiskFull,
+    kKill,
+    kCut,
+    kMachinesFail,
+    kMachinesDie
+  };
+  Kind kind = Kind::kCloudDown;
+  Micros at, span;
+  double share = 1;
+  std::string who, whom;
+};
+struct Night {
+  std::string name, about;
+  Micros duration, settle;
+  PlatformSettings site;
+  double boot_spread = 0.4;
+  std::vector<NightType> types;
+  std::vector<NightClass> classes;
+  std::vector<Withdrawal> withdrawals;
+  std::vector<std::string> either;  // jobs whose withdrawal races their end
+  std::vector<Trouble> troubles;
+};
+
+// A config::Error names file, line and what was expected.
+Night LoadNight(const std::string& file);
+
+}  // namespace badgershore::rehearsal
--- /dev/null
+++ b/src/rehearsal/users.cpp
@@ -0,0 +1,189 @@
+// The users of a simulated night: they submit, ask, cancel and ask again.
+#include <algorithm>
+
+#include "rehearsal/world.h"
+#include "wire/json.h"
+
+namespace badgershore::rehearsal {
+namespace {
+
+constexpr Micros kPatience = Seconds(900);
+
+std::string Body(const JobSpec& s) {
+  static const char* const kShapes[] = {"array", "gang", "daemon"};
+  static const char* const kRanks[] = {"production", "high", "normal", "idle"};
+  wire::Writer w;
+  w.Begin().Put("nameId", s.id).Put("lane", s.lane).Put("owner", s.team);
+  w.Put("shape", kShapes[static_cast<size_t>(s.shape)]);
+  w.Put("rank", kRanks[static_cast<size_t>(s.rank)]).Put("legs", s.tasks);
+  w.Put("cpus", static_cast<double>(s.need.cpu) / 1000);
+  w.Put("accelerators", static_cast<double>(s.need.gpu) / 1000);
+  w.Put("memGb", static_cast<double>(s.need.mem) / 1000);
+  w.Put("kit", s.image).Put("imageGb", s.image_gb).Put("samePlace", s.same_zone);
+  w.Put("spread", s.spread).Put("loaners", s.spot_ok).Put("expectS", s.estimate.ToSeconds());
+  w.Put("stashEveryS", s.checkpoint_every.ToSeconds()).Put("stashS", s.save_time.ToSeconds());
+  if (s.due) w.Put("dueS", s.due->ToSeconds());
+  return w.End().Done();
+}
+
+}  // namespace
+
+// Which jobs there are and how large is the night's alone; only when they come is chance.
+void World::PlanJobs() {
+  for (size_t c = 0; c < night_.classes.size(); ++c) {
+    const NightClass& k = night_.classes[c];
+    const int arriving = static_cast<int>(k.per_minute * night_.duration.ToSeconds() / 60);
+    std::mt19937_64 size(c + 1);
+    for (int i = 0; i < k.at_start + arriving; ++i) {
+      UserJob job;
+      JobSpec spec = k.spec;
+      char id[48];
+      std::snprintf(id, sizeof(id), "job-%02zu%05d", c + 1, i + 1);
+      spec.id = id;
+      spec.tasks =
+          k.least_tasks +
+          static_cast<int>(size() % static_cast<uint64_t>(k.most_tasks - k.least_tasks + 1));
+      spec.image = k.spec.lane + "-" + std::to_string(size() % static_cast<uint64_t>(k.images));
+      job.run = k.run.Scaled(0.5 + static_cast<double>(size() % 1000) / 1000);
+      job.body = Body(spec);
+      job.lane = spec.lane;
+      job.facts = {spec.id,       spec.team,     spec.lane, spec.tasks,
+                   spec.need.cpu, spec.need.gpu, "",        spec.same_zone,
+                   spec.spread,   spec.spot_ok,  0};
+      const double gap = k.per_minute > 0 ? 60 / k.per_minute : 0;
+      const Micros at =
+          i < k.at_start ? Between(0, 2) : Seconds((i - k.at_start) * gap) + Between(0, gap);
+      jobs_[id] = job;
+      Later(now_ + at, [this, spec, run = job.run] {
+        work_.AddJob(spec, run);
+        UserJob& j = jobs_.at(spec.id);
+        j.submitted = true;
+        j.first = now_;
+        Event e;
+        e.kind = Event::Kind::kSubmitted;
+        e.job = spec.id;
+        e.facts = j.facts;
+        e.facts.submitted_us = now_.count;
+        See(e);
+        Submit(spec.id, now_, 0);
+      });
+    }
+  }
+  for (const Withdrawal& w : night_.withdrawals) {
+    if (jobs_.contains(w.job)) Later(now_ + w.at, [this, job = w.job] { Withdraw(job); });
+  }
+}
+
+// As the load balancer does, roughly: one of the nodes that call themselves healthy.
+std::string World::PickNode() {
+  std::vector<size_t> healthy;
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].core && nodes_[i].core->Healthy(now_)) healthy.push_back(i);
+  }
+  const size_t pick =
+      healthy.empty() ? random_() % nodes_.size() : healthy[random_() % healthy.size()];
+  return "node-" + std::to_string(pick);
+}
+
+void World::Submit(const std::string& job, Micros first, int tries) {
+  wire::Call call{"POST", "/work", jobs_.at(job).body, Seconds(5)};
+  Send("users", PickNode(), std::move(call), [=, this](int status, const std::string&) {
+    UserJob& j = jobs_.at(job);
+    Event e;
+    e.job = job;
+    e.number = static_cast<uint64_t>(std::max(status, 0));
+    if (status == 200 || status == 201) {
+      e.kind = Event::Kind::kAccepted;
+      if (!j.accepted) {
+        j.accepted = true;
+        Later(now_ + Between(1, 5), [this, job] { Poll(job, false); });
+        // Now and then the answer is lost on its way back, and the job is submitted again.
+        if (Chance() < 0.1)
+          Later(now_ + Between(1, 30), [this, job, first] { Submit(job, first, 0); });
+      }
+      return See(e);
+    }
+    if (status == 400 || status == 422) {
+      e.kind = Event::Kind::kRejected;
+      j.gave_up = true;
+      return See(e);
+    }
+    if (j.accepted) return;
+    if (now_ - first > kPatience) {
+      j.gave_up = true;
+      return Note("gives up " + job);
+    }
+    Later(now_ + Seconds(1), [=, this] { Submit(job, first, tries + 1); });
+  });
+}
+
+void World::Poll(const std::string& job, bool again) {
+  wire::Call call{"GET", "/work/" + job, "", Seconds(2)};
+  Send("users", PickNode(), std::move(call), [=, this](int status, const std::string& body) {
+    UserJob& j = jobs_.at(job);
+    Event e;
+    e.job = job;
+    rapidjson::Document doc;
+    if (status == 200 && wire::ParseObject(body, &doc)) {
+      e.kind = Event::Kind::kTold;
+      e.text = wire::Text(doc, "phase");
+      See(e);
+      const bool final = e.text == "done" || e.text == "withdrawn";
+      if (final && !j.final) {
+        j.final = true;
+        if (e.text == "done") result_.waits[j.lane].push_back((now_ - j.first).ToSeconds());
+      }
+      if (final && again) {
+        j.rechecked = true;
+        return;
+      }
+      // It may be asked about at any later time, and must be told the same.
+      const Micros next = final ? Between(10, 30) : Between(4, 6);
+      return Later(now_ + next, [=, this] { Poll(job, final); });
+    }
+    e.kind = status == 404 ? Event::Kind::kUnknownJob : Event::Kind::kNoAnswer;
+    See(e);
+    Later(now_ + Between(1, 5), [=, this] { Poll(job, again); });
+  });
+}
+
+void World::Withdraw(const std::string& job) {
+  const UserJob& known = jobs_.at(job);
+  if (!known.accepted)
+    return Later(now_ + Seconds(1), [this, job] {
+      if (!jobs_.at(job).gave_up) Withdraw(job);
+    });
+  Event asks;
+  asks.kind = Event::Kind::kWithdraws;
+  asks.job = job;
+  See(asks);
+  wire::Call call{"POST", "/work/" + job + "/withdraw", "", Seconds(5)};
+  Send("users", PickNode(), std::move(call), [=, this](int status, const std::string& body) {
+    rapidjson::Document doc;
+    Event e;
+    e.job = job;
+    if (status == 200 && wire::ParseObject(body, &doc)) {
+      e.kind = Event::Kind::kTold;
+      e.text = wire::Text(doc, "phase");
+      See(e);
+      if (e.text == "done" || e.text == "withdrawn") jobs_.at(job).final = true;
+      return;
+    }
+    Later(now_ + Seconds(1), [this, job] { Withdraw(job); });
+  });
+}
+
+void World::AskUnknown() {
+  wire::Call call{"GET", "/work/job-99999999", "", Seconds(2)};
+  Send("users", PickNode(), std::move(call), [this](int status, const std::string&) {
+    if (status != 200) return;
+    Event e;
+    e.kind = Event::Kind::kTold;
+    e.job = "job-99999999";
+    e.text = "pending";
+    See(e);
+  });
+  Later(now_ + Seconds(29), [this] { AskUnknown(); });
+}
+
+}  // namespace badgershore::rehearsal
--- /dev/null
+++ b/src/rehearsal/work.h
@@ -0,0 +1,80 @@
+// What tasks do on emulated machines: fetch, run, fail, wait for their gang, save. Progress and
+// results outlive the machines.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "agent/core/agent.h"
+#include "rehearsal/night.h"
+
+namespace badgershore::rehearsal {
+
+using agent::TaskKey;
+
+class Work {
+ public:
+  struct Hooks {
+    std::function<Micros()> now;
+    std::function<void(Micros at, std::function<void()>)> later;
+    // A machine's agent is told; false where the machine is gone.
+    std::function<void(const std::string& machine, const TaskKey&)> gang_complete;
+    std::function<void(const std::string& machine, const TaskKey&, ExitCause, bool saved)> exit;
+    std::function<void(const TaskKey&)> done;  // completed, before any exit is told
+  };
+  Work(const Night& night, uint64_t seed, Hooks hooks)
+      : night_(night), random_(seed), hooks_(std::move(hooks)) {}
+
+  void AddJob(const JobSpec& spec, Micros run) { jobs_[spec.id] = Job{spec, run, {}, {}, {}, {}}; }
+  const JobSpec* Find(const std::string& job) const {
+    auto it = jobs_.find(job);
+    return it == jobs_.end() ? nullptr : &it->second.spec;
+  }
+  // `sick`: the machine fails all that it starts.
+  void Launch(const std::string& machine, const TaskKey& task, bool sick);
+  void Save(const std::string& machine, const TaskKey& task);
+  void Kill(const TaskKey& task);  // ended now, by whatever cause
+  double useful_cpu_s() const { return useful_cpu_s_; }
+
+ private:
+  struct Member {
+    std::string machine;
+    bool saving = false;
+    Micros saved_at;
+  };
+  struct Gang {  // one attempt
+    std::map<int, Member> members;
+    bool running = false, broken = false, stopping = false;
+    Micros since, progress;  // progress: when the first was told to stop
+    uint64_t serial = 0;
+  };
+  struct Running {
+    std::string machine;
+    Micros since;
+    uint64_t serial = 0;
+  };
+  struct Job {
+    JobSpec spec;
+    Micros run;
+    std::set<int> done;
+    std::map<int, Micros> saved;  // an array's task -> progress; a gang's under 0
+    std::map<TaskKey, Running> running;
+    std::map<uint64_t, Gang> gangs;
+  };
+  Micros Checkpoint(const Job& job, Micros progress) const;
+  void Finish(Job* job, const TaskKey& task);
+  void Break(Job* job, uint64_t attempt);
+  double Chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+  const Night& night_;
+  std::mt19937_64 random_;
+  Hooks hooks_;
+  std::map<std::string, Job> jobs_;
+  uint64_t serial_ = 0;
+  double useful_cpu_s_ = 0;
+};
+
+}  // namespace badgershore::rehearsal
--- /dev/null
+++ b/src/rehearsal/world.cpp
@@ -0,0 +1,655 @@
+#include "rehearsal/world.h"
+
+#include <algorithm>
+
+#include "wire/store_messages.h"
+
+namespace badgershore::rehearsal {
+namespace {
+
+const std::string kState = "state", kCloud = "cloud", kUsers = "users";
+constexpr Micros kTick = Millis(100);
+
+std::string NodeName(size_t index) { return "node-" + std::to_string(index); }
+bool IsNode(const std::string& host) { return host.starts_with("node-"); }
+size_t NodeIndex(const std::string& host) { return static_cast<size_t>(host.back() - '0'); }
+bool IsMachine(const std::string& host) { return host.starts_with("n-"); }
+
+Checker::Bounds BoundsOf(const Night& night) {
+  Checker::Bounds b;
+  b.cancel_s = night.site.cancel_within.ToSeconds();
+  for (const Team& t : night.site.teams) b.limits[t.name] = {t.limit.cpu, t.limit.gpu};
+  return b;
+}
+
+}  // namespace
+
+World::World(const Night& night, uint64_t seed)
+    : night_(night),
+      random_(seed),
+      seed_(seed),
+      now_(Seconds(1)),
+      cloud_(night, random_(),
+             {[this](Micros at, std::function<void()> f) { Later(at, std::move(f)); },
+              [this](const Cloud::Machine& m) { MachineUp(m); },
+              [this](const Cloud::Machine& m) { MachineGone(m.id); }}),
+      work_(night, random_(),
+            {[this] { return now_; },
+             [this](Micros at, std::function<void()> f) { Later(at, std::move(f)); },
+             [this](const std::string& machine, const TaskKey& task) {
+               auto it = workers_.find(machine);
+               if (it == workers_.end()) return;
+               it->second.agent->OnGangComplete(now_, task);
+               PumpMachine(machine);
+             },
+             [this](const std::string& machine, const TaskKey& task, ExitCause cause, bool saved) {
+               auto it = workers_.find(machine);
+               if (it == workers_.end() || !it->second.on.contains(task)) return;
+               TaskOff(machine, task);
+               it->second.agent->OnExit(now_, task, cause, saved);
+               PumpMachine(machine);
+             },
+             [this](const TaskKey& task) {
+               Event e;
+               e.kind = Event::Kind::kTaskDone;
+               e.job = task.ref.job;
+               e.task = task.ref.task;
+               See(e);
+             }}),
+      checker_(BoundsOf(night)) {}
+
+void World::Later(Micros at, std::function<void()> then) {
+  queue_.push({std::max(at, now_), ++order_, std::move(then)});
+}
+
+void World::See(Event e) {
+  e.at_us = now_.count;
+  checker_.See(e);
+  result_.history += Line(e) + "\n";
+}
+
+void World::Note(const std::string& text) {
+  Event e;
+  e.text = text;
+  See(e);
+}
+
+// ---- Network ----
+
+bool World::Matches(const std::string& who, const std::string& host) const {
+  if (who == "machines") return IsMachine(host);
+  if (who == "nodes") return IsNode(host);
+  if (who.starts_with("zone-")) {
+    auto it = workers_.find(host);
+    return it != workers_.end() && it->second.record.zone == who.substr(5);
+  }
+  return who == host;
+}
+
+void World::Deliver(const std::string& from, const std::string& to, bool reply,
+                    std::function<void()> then) {
+  Micros at = now_ + Between(0.0002, 0.0012);
+  for (const Cut& cut : cuts_) {
+    if (cut.until <= now_) continue;
+    if (!(Matches(cut.a, from) && Matches(cut.b, to)) &&
+        !(Matches(cut.b, from) && Matches(cut.a, to))) {
+      continue;
+    }
+    // What was under way on an open connection is held back; a new connection never comes about.
+    if (!reply && Chance() < 0.5) return;
+    at = std::max(at, cut.until + Between(0.001, 0.5));
+  }
+  Later(at, std::move(then));
+}
+
+void World::Send(const std::string& from, const std::string& to, wire::Call call, Reply reply) {
+  const uint64_t id = ++next_call_;
+  const int life = IsNode(from) ? nodes_[NodeIndex(from)].life : 0;
+  const Micros timeout = call.timeout;
+  pending_[id] = {from, to, life, std::move(reply)};
+  Deliver(from, to, false, [this, id, to, call = std::move(call)] { Serve(id, to, call); });
+  Later(now_ + timeout, [this, id] { Finish(id, kNoAnswer, ""); });
+}
+
+void World::Finish(uint64_t id, int status, const std::string& body) {
+  auto it = pending_.find(id);
+  if (it == pending_.end()) return;
+  const Pending p = std::move(it->second);
+  pending_.erase(it);
+  if (IsNode(p.from)) {
+    const Node& n = nodes_[NodeIndex(p.from)];
+    if (!n.core || n.life != p.life) return;
+  }
+  p.reply(status, body);
+}
+
+void World::Respond(uint64_t id, int status, std::string body) {
+  auto it = pending_.find(id);
+  if (it == pending_.end()) return;  // the caller has given up
+  Deliver(it->second.to, it->second.from, true,
+          [this, id, status, body = std::move(body)] { Finish(id, status, body); });
+}
+
+// A caller that has given up does not keep its request from being carried out.
+void World::Serve(uint64_t id, const std::string& to, const wire::Call& call) {
+  if (IsNode(to)) return ServeNode(NodeIndex(to), id, call);
+  if (to == kState) return ServeState(id, call);
+  if (to == kCloud) {
+    Later(now_ + Between(0.04, 0.12), [this, id, call] {
+      auto [status, body] = cloud_.Handle(now_, call);
+      Respond(id, status, std::move(body));
+    });
+    return;
+  }
+  ServeMachine(to, id, call);
+}
+
+// ---- Controllers ----
+
+void World::StartNode(size_t index) {
+  Node& n = nodes_[index];
+  PlatformSettings s = night_.site;
+  s.member = NodeName(index);
+  s.client_listen = s.back = s.member;
+  for (size_t k = 0; k < nodes_.size(); ++k) {
+    if (k != index) s.members.push_back({NodeName(k), NodeName(k)});
+  }
+  ++n.life;
+  n.core = std::make_unique<Controller>(s, Options{});
+  n.callers.clear();
+  n.rate = store::RateLimit(s.state_rps * 0.9 / static_cast<double>(nodes_.size()), now_);
+  Later(now_ + Between(0.001, 0.1), [this, index, life = n.life] { TickNode(index, life); });
+}
+
+void World::KillNode(size_t index, Micros back_after) {
+  Node& n = nodes_[index];
+  if (!n.core) return;
+  Note("ends " + NodeName(index));
+  n.core.reset();
+  ++n.life;
+  for (auto& [id, p] : pending_) {  // its connections are reset
+    if (p.to == NodeName(index))
+      Later(now_ + Millis(1), [this, id = id] { Finish(id, kNoAnswer, ""); });
+  }
+  Later(now_ + back_after, [this, index] { StartNode(index); });
+}
+
+int World::Leader() const {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].core && nodes_[i].core->leads()) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+void World::TickNode(size_t index, int life) {
+  Node& n = nodes_[index];
+  if (!n.core || n.life != life) return;
+  n.core->Tick(now_, now_.ToMillis());
+  PumpNode(index);
+  Later(now_ + kTick, [this, index, life] { TickNode(index, life); });
+}
+
+void World::NodeState(size_t index, StateOp op) {
+  const RequestId id = op.id;
+  wire::Call call = wire::FormatStateCall(op);
+  Send(NodeName(index), kState, std::move(call),
+       [this, index, id, op](int status, const std::string& body) {
+         StateReply r;
+         if (status == kNotSent) {
+           r.outcome = StateReply::Outcome::kRefused;
+         } else if (status != kNoAnswer) {
+           r = wire::ParseStateAnswer(op, status, body);
+         }
+         nodes_[index].core->OnState(now_, id, std::move(r));
+         PumpNode(index);
+       });
+}
+
+void World::PumpNode(size_t index) {
+  Node& n = nodes_[index];
+  const std::string name = NodeName(index);
+  Effects out = n.core->Take();
+  const auto answer = [&](RequestId token, int status, std::string body) {
+    auto it = n.callers.find(token);
+    if (it == n.callers.end()) return;
+    Respond(it->second, status, std::move(body));
+    n.callers.erase(it);
+  };
+  for (const LogLine& line : out.log) {
+    if (line.level == LogLine::Level::kDebug) continue;
+    char at[32];
+    std::snprintf(at, sizeof(at), "%.6f ", now_.ToSeconds());
+    result_.log += at + name + " " + line.text + "\n";
+  }
+  for (const CheckinAnswer& a : out.checkins)
+    answer(a.token, a.status, wire::FormatCheckinAnswer(a));
+  for (const UserAnswer& a : out.answers) answer(a.token, a.status, wire::FormatAnswer(a));
+  for (const PeerNote& note : out.notes) {
+    for (size_t k = 0; k < nodes_.size(); ++k) {
+      if (k == index) continue;
+      Deliver(name, NodeName(k), false, [this, k, note] {
+        if (!nodes_[k].core) return;
+        nodes_[k].core->OnPeer(now_, note);
+        PumpNode(k);
+      });
+    }
+  }
+  for (StateOp& op : out.state) {
+    const bool paced = op.kind != StateOp::Kind::kTouch && op.kind != StateOp::Kind::kGrant &&
+                       op.kind != StateOp::Kind::kRelease && op.kind != StateOp::Kind::kWatch;
+    if (!paced || n.rate.Take(now_, 1)) {
+      NodeState(index, std::move(op));
+      continue;
+    }
+    // As the state client does: a little later, or refused after a second.
+    auto attempt = std::make_shared<std::function<void()>>();
+    *attempt = [this, index, op, life = n.life, start = now_,
+                weak = std::weak_ptr<std::function<void()>>(attempt)] {
+      Node& node = nodes_[index];
+      if (!node.core || node.life != life) return;
+      if (node.rate.Take(now_, 1)) return NodeState(index, op);
+      if (now_ - start > Seconds(1)) {
+        StateReply r;
+        r.outcome = StateReply::Outcome::kRefused;
+        node.core->OnState(now_, op.id, r);
+        return PumpNode(index);
+      }
+      Later(now_ + Millis(20), [self = weak.lock()] { (*self)(); });
+    };
+    Later(now_ + Millis(20), [attempt] { (*attempt)(); });
+  }
+  for (const CloudOp& op : out.cloud) {
+    Send(name, kCloud, wire::FormatCloudCall(op),
+         [this, index, op](int status, const std::string& body) {
+           CloudReply r;
+           if (status == kNotSent) {
+             r.outcome = CloudReply::Outcome::kBusy;
+           } else if (status != kNoAnswer) {
+             r = wire::ParseCloudAnswer(op, status, body);
+           }
+           nodes_[index].core->OnCloud(now_, op.id, std::move(r));
+           PumpNode(index);
+         });
+  }
+  for (const DirectOp& op : out.direct) {
+    wire::Call call{"POST", "/do", wire::FormatDirect(op), Seconds(3)};
+    Send(name, op.endpoint, std::move(call),
+         [this, index, id = op.id](int status, const std::string& body) {
+           DirectReply r;
+           r.status = std::max(status, 0);
+           if (status > 0) r.report = wire::ParseReport(body);
+           nodes_[index].core->OnDirect(now_, id, std::move(r));
+           PumpNode(index);
+         });
+  }
+}
+
+void World::ServeNode(size_t index, uint64_t id, const wire::Call& call) {
+  Node& n = nodes_[index];
+  if (!n.core) return Respond(id, kNotSent, "");
+  const RequestId token = ++n.next_token;
+  n.callers[token] = id;
+  if (call.target == "/checkin") {
+    n.core->OnCheckin(now_, token, *wire::ParseReport(call.body));
+  } else if (call.target == "/work") {
+    n.core->OnSubmit(now_, token, wire::ParseSubmission(call.body, now_.ToMillis()));
+  } else if (call.target.ends_with("/withdraw")) {
+    n.core->OnWithdraw(now_, token, call.target.substr(6, call.target.size() - 15));
+  } else {
+    n.core->OnQuery(now_, token, call.target.substr(6));
+  }
+  PumpNode(index);
+}
+
+// ---- State service ----
+
+void World::ServeState(uint64_t id, const wire::Call& call) {
+  if (!state_) return Respond(id, kNotSent, "");
+  wire::StoreCall parsed = wire::ParseStoreCall(call.method, call.target, call.body);
+  if (parsed.status != 0) return Respond(id, parsed.status, "{}");
+  const bool watch = std::holds_alternative<store::WatchRequest>(parsed.request);
+  if (state_down_ && !watch) return Respond(id, 503, R"({"error":"outage"})");
+  const bool commit = std::holds_alternative<store::CommitRequest>(parsed.request);
+  if (commit && Chance() < late_share_) {  // applied long after its caller has given up
+    return Later(late_until_ + Between(1, 60), [this, request = parsed.request] {
+      if (state_) AskState(0, request);
+    });
+  }
+  if (commit && Chance() < mute_share_) id = 0;  // applied, and never answered
+  AskState(id, parsed.request);
+}
+
+void World::AskState(uint64_t id, const store::Request& request) {
+  const store::Token token = ++next_state_token_;
+  state_calls_[token] = {id, request};
+  state_->Ask(now_, token, request);
+  PumpState();
+}
+
+void World::PumpState() {
+  store::Machine::Effects out = state_->Take();
+  for (auto& [token, answer] : out.answers) {
+    auto it = state_calls_.find(token);
+    if (it == state_calls_.end()) continue;
+    wire::StoreAnswer a = wire::FormatStoreAnswer(it->second.second, answer);
+    if (a.status != 0) Respond(it->second.first, a.status, std::move(a.body));
+    state_calls_.erase(it);
+  }
+  if (out.write) {
+    writing_ = std::move(out.write);
+    Later(now_ + Between(0.0005, 0.004), [this, life = state_life_] {
+      if (life != state_life_ || !writing_) return;
+      const uint64_t batch = std::exchange(writing_, std::nullopt)->id;
+      state_->OnWritten(now_, batch,
+                        disk_full_ ? store::Written::kAbsent : store::Written::kDurable);
+      PumpState();
+    });
+  }
+  const Micros next = std::max(state_->NextDeadline(), now_ + Millis(1));
+  if (next >= state_armed_) return;
+  state_armed_ = next;
+  Later(next, [this, life = state_life_, next] {
+    if (life != state_life_) return;
+    if (state_armed_ == next) state_armed_ = kNever;
+    // In an outage nothing ends: its leases have their full time afterwards.
+    if (!state_down_) state_->Tick(now_);
+    PumpState();
+  });
+}
+
+void World::StartState() {
+  store::Limits limits;
+  limits.requests_per_s = night_.site.state_rps;
+  limits.changes_per_s = night_.site.state_write_rps;
+  limits.value_bytes = static_cast<size_t>(night_.site.state_value_kb * 1024);
+  limits.commit_changes = static_cast<size_t>(night_.site.state_txn_ops);
+  state_ = std::make_unique<store::Machine>(limits, std::move(disk_), now_);
+  PumpState();
+}
+
+void World::RestartState(Micros span) {
+  if (!state_) return;
+  disk_ = state_->image();
+  // What was being written may or may not have reached the disk.
+  if (writing_ && Chance() < 0.5) store::Apply(*writing_, &disk_);
+  writing_.reset();
+  state_.reset();
+  ++state_life_;
+  state_armed_ = kNever;
+  for (auto& [token, call] : state_calls_) {
+    Later(now_ + Millis(1), [this, id = call.first] { Finish(id, kNoAnswer, ""); });
+  }
+  state_calls_.clear();
+  Later(now_ + span, [this] { StartState(); });
+}
+
+// ---- Workers ----
+
+void World::MachineUp(const Cloud::Machine& m) {
+  Worker& w = workers_[m.id];
+  w.record = {m.id, m.id, m.type, m.zone, m.spot};
+  agent::Settings s;
+  s.machine = w.record;
+  for (const NightType& t : night_.types) {
+    if (t.type.name != m.type) continue;
+    s.size = t.type.size;
+    w.fetch_gb_per_s = t.type.fetch_gb_per_s * (0.7 + 0.6 * Chance());
+  }
+  for (size_t i = 0; i < nodes_.size(); ++i) s.controllers.push_back(NodeName(i));
+  s.report_every = night_.site.report_every;
+  s.lease = night_.site.worker_lease;
+  s.gang_wait = night_.site.gang_wait;
+  w.agent = std::make_unique<agent::Agent>(s, random_(), now_);
+  Event e;
+  e.kind = Event::Kind::kMachineUp;
+  e.machine = m.id;
+  e.text = m.zone;
+  e.number = m.spot;
+  See(e);
+  w.agent->Tick(now_);
+  PumpMachine(m.id);
+}
+
+void World::MachineGone(const std::string& id) {
+  auto it = workers_.find(id);
+  if (it == workers_.end()) return;
+  const std::set<TaskKey> on = it->second.on;
+  for (const TaskKey& task : on) {
+    TaskOff(id, task);
+    work_.Kill(task);
+  }
+  workers_.erase(id);
+  Event e;
+  e.kind = Event::Kind::kMachineGone;
+  e.machine = id;
+  See(e);
+}
+
+void World::TaskOff(const std::string& machine, const TaskKey& task) {
+  if (workers_.at(machine).on.erase(task) == 0) return;
+  Event e;
+  e.kind = Event::Kind::kTaskOff;
+  e.job = task.ref.job;
+  e.task = task.ref.task;
+  e.machine = machine;
+  e.number = task.attempt;
+  See(e);
+}
+
+void World::PumpMachine(const std::string& id) {
+  Worker& w = workers_.at(id);
+  const auto alive = [this, id, agent = w.agent.get()](auto then) {
+    return [this, id, agent, then] {
+      auto it = workers_.find(id);
+      if (it == workers_.end() || it->second.agent.get() != agent) return;
+      then(agent);
+      PumpMachine(id);
+    };
+  };
+  using Kind = agent::Command::Kind;
+  for (agent::Command& c : w.agent->Take()) {
+    switch (c.kind) {
+      case Kind::kReport: {
+        wire::Call call{"POST", "/checkin", wire::FormatReport(c.report), Seconds(4)};
+        Send(
+            id, NodeName(c.controller), std::move(call),
+            [this, alive, report = c.report_id](int status, const std::string& body) {
+              const CheckinAnswer a = wire::ParseCheckinAnswer(std::max(status, 0), body);
+              alive([this, report, a](agent::Agent* agent) { agent->OnAnswer(now_, report, a); })();
+            });
+        break;
+      }
+      case Kind::kDescribe:
+        Later(now_ + Millis(5), alive([this, job = c.text](agent::Agent* agent) {
+                const JobSpec* spec = work_.Find(job);
+                agent->OnDescription(now_, job,
+                                     spec ? std::optional<JobSpec>(*spec) : std::nullopt);
+              }));
+        break;
+      case Kind::kFetch: {
+        const uint64_t serial = ++order_;
+        w.fetches[c.text] = serial;
+        Later(now_ + Seconds(c.gb / w.fetch_gb_per_s),
+              alive([this, id, image = c.text, serial](agent::Agent* agent) {
+                if (workers_.at(id).fetches[image] == serial) agent->OnImage(now_, image);
+              }));
+        break;
+      }
+      case Kind::kGiveUp:
+        w.fetches.erase(c.text);
+        break;
+      case Kind::kLaunch: {
+        w.on.insert(c.task);
+        Event e;
+        e.kind = Event::Kind::kTaskOn;
+        e.job = c.task.ref.job;
+        e.task = c.task.ref.task;
+        e.machine = id;
+        e.number = c.task.attempt;
+        See(e);
+        // Not from within: a gang that is complete calls its members' agents.
+        Later(now_, [this, id, task = c.task] {
+          auto it = workers_.find(id);
+          if (it == workers_.end() || !it->second.on.contains(task)) return;
+          work_.Launch(id, task, it->second.sick);
+        });
+        break;
+      }
+      case Kind::kSave:
+        Later(now_, [this, id, task = c.task] {
+          auto it = workers_.find(id);
+          if (it != workers_.end() && it->second.on.contains(task)) work_.Save(id, task);
+        });
+        break;
+      case Kind::kKill:
+        TaskOff(id, c.task);
+        work_.Kill(c.task);
+        break;
+    }
+  }
+  const Micros next = std::max(w.agent->NextDeadline(), now_ + Micros{1});
+  if (next >= w.armed) return;
+  w.armed = next;
+  Later(next, alive([this, id, next](agent::Agent* agent) {
+          Worker& worker = workers_.at(id);
+          if (worker.armed == next) worker.armed = kNever;
+          agent->Tick(now_);
+        }));
+}
+
+void World::ServeMachine(const std::string& machine, uint64_t id, const wire::Call& call) {
+  auto it = workers_.find(machine);
+  if (it == workers_.end()) return;  // silence
+  const std::optional<DirectOp> op = wire::ParseDirect(call.body);
+  if (!op) return Respond(id, 400, "{}");
+  const int status = it->second.agent->OnDirect(now_, op->baton, op->session, op->orders);
+  Respond(id, status, wire::FormatReport(it->second.agent->Status()));
+  PumpMachine(machine);
+}
+
+// ---- The night ----
+
+void World::Begin(const Trouble& t) {
+  using Kind = Trouble::Kind;
+  const auto until = [&](std::function<void()> then) { Later(now_ + t.span, std::move(then)); };
+  const auto each_machine = [&](auto then) {
+    std::vector<std::string> ids;
+    for (const auto& [id, w] : workers_) ids.push_back(id);
+    for (const std::string& id : ids) {
+      if (Chance() < t.share) then(id);
+    }
+  };
+  Note("trouble " + std::to_string(static_cast<int>(t.kind)) + " begins");
+  switch (t.kind) {
+    case Kind::kCloudDown:
+      cloud_.down = true;
+      return until([this] { cloud_.down = false; });
+    case Kind::kCloudEmpty:
+      cloud_.empty = true;
+      return until([this] { cloud_.empty = false; });
+    case Kind::kGrantsVanish:
+      cloud_.vanish_share = t.share;
+      return until([this] { cloud_.vanish_share = 0; });
+    case Kind::kBootsNever:
+      cloud_.never_share = t.share;
+      return until([this] { cloud_.never_share = 0; });
+    case Kind::kSpotWave:
+      return each_machine([&](const std::string& id) {
+        Worker& w = workers_.at(id);
+        if (!w.record.spot) return;
+        const Micros notice = Chance() < 0.3 ? Micros{} : Between(4, 12);
+        if (notice > Micros{}) {
+          w.agent->SetNotice(now_, notice);
+          PumpMachine(id);
+        }
+        Later(now_ + notice, [this, id] { cloud_.Take(now_, id); });
+      });
+    case Kind::kStateDown:
+      state_down_ = true;
+      return until([this] {
+        state_down_ = false;
+        if (state_) state_->RenewLeases(now_);
+      });
+    case Kind::kStateMute:
+      mute_share_ = t.share;
+      return until([this] { mute_share_ = 0; });
+    case Kind::kStateLate:
+      late_share_ = t.share;
+      late_until_ = now_ + t.span;
+      return until([this] { late_share_ = 0; });
+    case Kind::kStateRestart:
+      return RestartState(std::max(t.span, Millis(200)));
+    case Kind::kDiskFull:
+      disk_full_ = true;
+      return until([this] { disk_full_ = false; });
+    case Kind::kKill:
+      for (size_t i = 0; i < nodes_.size(); ++i) {
+        const bool leads = Leader() == static_cast<int>(i);
+        if (t.who == "all" || t.who == NodeName(i) || (t.who == "leader" && leads)) {
+          KillNode(i, std::max(t.span, Between(2, 4)));
+          if (t.who == "leader") break;
+        }
+      }
+      return;
+    case Kind::kCut: {
+      const auto host = [&](const std::string& who) {
+        return who == "leader" ? NodeName(static_cast<size_t>(std::max(Leader(), 0))) : who;
+      };
+      cuts_.push_back({host(t.who), host(t.whom), now_ + t.span});
+      return;
+    }
+    case Kind::kMachinesFail:
+      return each_machine([&](const std::string& id) {
+        workers_.at(id).sick = true;
+        Later(now_ + t.span, [this, id] {
+          if (workers_.contains(id)) workers_.at(id).sick = false;
+        });
+      });
+    case Kind::kMachinesDie:
+      return each_machine([&](const std::string& id) { MachineGone(id); });
+  }
+}
+
+Result World::Run() {
+  result_.night = night_.name;
+  result_.seed = seed_;
+  StartState();
+  for (size_t i = 0; i < nodes_.size(); ++i) StartNode(i);
+  cloud_.Begin(now_);
+  PlanJobs();
+  Later(now_ + Seconds(7), [this] { AskUnknown(); });
+  const Micros start = now_;
+  for (const Trouble& t : night_.troubles) Later(start + t.at, [this, t] { Begin(t); });
+  const Micros arrivals_end = start + night_.duration, end = arrivals_end + night_.settle;
+  while (!queue_.empty() && queue_.top().at <= end) {
+    now_ = queue_.top().at;
+    auto then = std::move(const_cast<Later_&>(queue_.top()).then);
+    queue_.pop();
+    then();
+    if (now_ < arrivals_end) continue;
+    const bool over = std::all_of(jobs_.begin(), jobs_.end(), [](const auto& j) {
+      return j.second.gave_up || (j.second.final && j.second.rechecked);
+    });
+    if (over) break;
+  }
+  checker_.End(now_.count);
+  result_.broken = checker_.broken();
+  result_.final_states = checker_.FinalStates();
+  for (const auto& [id, phase] : result_.final_states) {
+    result_.done += phase == "done";
+    result_.withdrawn += phase == "withdrawn";
+    result_.open += phase == "open";
+  }
+  for (const auto& [id, job] : jobs_) result_.open += job.gave_up;
+  double cheapest = 1e9;
+  for (const NightType& t : night_.types) {
+    cheapest =
+        std::min(cheapest, t.type.spot_price / (static_cast<double>(t.type.size.cpu) / 1000));
+  }
+  const double useful = work_.useful_cpu_s() / 3600 * cheapest;
+  result_.price = useful > 0 ? cloud_.Spent(now_) / useful : 0;
+  result_.simulated_s = (now_ - start).ToSeconds();
+  return std::move(result_);
+}
+
+}  // namespace badgershore::rehearsal
--- /dev/null
+++ b/src/rehearsal/world.h
@@ -0,0 +1,159 @@
+// A night in simulated time: three controllers' cores as they ship, the state service's machine,
+// the emulated cloud, workers and users, and a network between them, in one thread. All chance
+// comes from one seed, so the same night and seed give the same history to the byte.
+#pragma once
+
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "core/controller.h"
+#include "rehearsal/cloud.h"
+#include "rehearsal/history.h"
+#include "rehearsal/work.h"
+#include "store/machine.h"
+
+namespace badgershore::rehearsal {
+
+struct Result {
+  std::string night;
+  uint64_t seed = 0;
+  int done = 0, withdrawn = 0, open = 0;
+  std::map<std::string, std::string> final_states;
+  std::vector<Broken> broken;
+  std::map<std::string, std::vector<double>> waits;  // by class: submission to told done, seconds
+  double price = 0, simulated_s = 0;
+  std::string history, log;  // lines
+  bool clean() const { return broken.empty() && open == 0; }
+};
+
+class World {
+ public:
+  World(const Night& night, uint64_t seed);
+  Result Run();
+
+ private:
+  using Reply = std::function<void(int status, const std::string& body)>;
+  // Instead of a status: nobody listens there; no answer came.
+  static constexpr int kNotSent = -1, kNoAnswer = 0;
+
+  // Time.
+  void Later(Micros at, std::function<void()> then);
+  double Chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  Micros Between(double least_s, double most_s) {
+    return Seconds(least_s + (most_s - least_s) * Chance());
+  }
+
+  // Network. Hosts are node-N, state, cloud, users and machines by their ids.
+  void Deliver(const std::string& from, const std::string& to, bool reply,
+               std::function<void()> then);
+  void Send(const std::string& from, const std::string& to, wire::Call call, Reply reply);
+  void Finish(uint64_t id, int status, const std::string& body);
+  void Serve(uint64_t id, const std::string& to, const wire::Call& call);
+  void ServeNode(size_t index, uint64_t id, const wire::Call& call);
+  void ServeState(uint64_t id, const wire::Call& call);
+  void ServeMachine(const std::string& machine, uint64_t id, const wire::Call& call);
+  void Respond(uint64_t id, int status, std::string body);
+  bool Matches(const std::string& who, const std::string& host) const;
+
+  // Controllers.
+  void StartNode(size_t index);
+  void KillNode(size_t index, Micros back_after);
+  void TickNode(size_t index, int life);
+  void PumpNode(size_t index);
+  void NodeState(size_t index, StateOp op);
+  int Leader() const;
+
+  // State service.
+  void AskState(uint64_t id, const store::Request& request);
+  void PumpState();
+  void StartState();  // from disk_
+  void RestartState(Micros span);
+
+  // Workers.
+  void MachineUp(const Cloud::Machine& m);
+  void MachineGone(const std::string& id);
+  void PumpMachine(const std::string& id);
+  void TaskOff(const std::string& machine, const TaskKey& task);
+
+  // Users.
+  void PlanJobs();
+  void Submit(const std::string& job, Micros first, int tries);
+  void Poll(const std::string& job, bool again);
+  void Withdraw(const std::string& job);
+  void AskUnknown();
+  std::string PickNode();
+
+  void Begin(const Trouble& t);
+  void See(Event e);
+  void Note(const std::string& text);
+
+  struct Later_ {
+    Micros at;
+    uint64_t order;
+    std::function<void()> then;
+    bool operator>(const Later_& o) const { return std::tie(at, order) > std::tie(o.at, o.order); }
+  };
+  struct Pending {
+    std::string from, to;
+    int life = 0;  // of a calling node
+    Reply reply;
+  };
+  struct Cut {
+    std::string a, b;
+    Micros until;
+  };
+  struct Node {
+    std::unique_ptr<Controller> core;
+    int life = 0;
+    store::RateLimit rate{0, {}};
+    std::map<RequestId, uint64_t> callers;  // token -> call
+    RequestId next_token = 0;
+  };
+  struct Worker {
+    std::unique_ptr<agent::Agent> agent;
+    MachineRecord record;
+    double fetch_gb_per_s = 1;
+    bool sick = false;
+    std::set<TaskKey> on;
+    Micros armed = kNever;
+    std::map<std::string, uint64_t> fetches;
+  };
+  struct UserJob {
+    std::string body, lane;
+    JobFacts facts;
+    Micros run, first;
+    bool submitted = false, accepted = false, final = false, gave_up = false, rechecked = false;
+  };
+
+  const Night& night_;
+  std::mt19937_64 random_;
+  uint64_t seed_;
+  Micros now_;
+  uint64_t order_ = 0;
+  std::priority_queue<Later_, std::vector<Later_>, std::greater<>> queue_;
+  std::map<uint64_t, Pending> pending_;
+  uint64_t next_call_ = 0;
+  std::vector<Cut> cuts_;
+  std::vector<Node> nodes_{3};
+
+  std::unique_ptr<store::Machine> state_;
+  store::Image disk_;
+  std::optional<store::Batch> writing_;
+  int state_life_ = 0;
+  Micros state_armed_ = kNever;
+  std::map<store::Token, std::pair<uint64_t, store::Request>> state_calls_;
+  store::Token next_state_token_ = 0;
+  bool state_down_ = false, disk_full_ = false;
+  double mute_share_ = 0, late_share_ = 0;
+  Micros late_until_;
+
+  Cloud cloud_;
+  Work work_;
+  std::map<std::string, Worker> workers_;
+  std::map<std::string, UserJob> jobs_;
+  Checker checker_;
+  Result result_;
+};
+
+}  // namespace badgershore::rehearsal
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -271,6 +271,81 @@
   return w.End().Done();
 }
 
+std::string FormatReport(const Report& r) {
+  static const char* const kStates[] = {"fetching", "fetching", "gathering",
+                                        "running",  "flushing", "exited"};
+  static const char* const kCauses[] = {"",      "done", "halted", "peers",  "alone",
+                                        "error", "full", "busy",   "unknown"};
+  Writer w;
+  w.Begin().Put("sett", r.machine).Put("endpoint", r.endpoint).Put("build", r.type);
+  w.Put("yard", r.zone).Put("loaners", r.spot).Put("tenure", r.session).Put("tally", r.seq);
+  w.Put("baton", r.baton);
+  if (r.notice) w.Put("recallS", r.notice->ToSeconds());
+  w.Key("legs").BeginList();
+  for (const ReportedTask& t : r.tasks) {
+    w.Begin().Put("leg", t.ref.job + "/" + std::to_string(t.ref.task)).Put("try", t.attempt);
+    w.Put("phase", kStates[static_cast<size_t>(t.state)]);
+    if (t.state == RunState::kExited) w.Put("cause", kCauses[static_cast<size_t>(t.cause)]);
+    if (t.saved) w.Put("stored", true);
+    w.End();
+  }
+  return w.EndList().End().Done();
+}
+
+namespace {
+
+std::vector<Order> ParseOrders(const Value& doc) {
+  std::vector<Order> out;
+  const Value* list = List(doc, "orders");
+  if (!list) return out;
+  for (const Value& v : list->GetArray()) {
+    Order o;
+    const std::string verb = Text(v, "verb");
+    if (!ParseTask(Text(v, "leg"), &o.ref)) continue;
+    o.attempt = Count(v, "try");
+    o.grace = Seconds(Number(v, "windDownS"));
+    if (verb == "start") {
+      o.verb = Order::Verb::kStart;
+    } else if (verb == "halt") {
+      o.verb = Order::Verb::kHalt;
+    } else if (verb == "clear") {
+      o.verb = Order::Verb::kClear;
+    } else {
+      continue;
+    }
+    out.push_back(std::move(o));
+  }
+  return out;
+}
+
+}  // namespace
+
+CheckinAnswer ParseCheckinAnswer(int status, std::string_view body) {
+  CheckinAnswer a;
+  a.status = status;
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc)) {
+    if (status == 200) a.status = 0;
+    return a;
+  }
+  a.baton = Count(doc, "baton");
+  a.leader = Text(doc, "overseer");
+  a.orders = ParseOrders(doc);
+  return a;
+}
+
+std::optional<DirectOp> ParseDirect(std::string_view body) {
+  rapidjson::Document doc;
+  if (!ParseObject(body, &doc) || !Find(doc, "baton") || !Find(doc, "tenure")) return std::nullopt;
+  DirectOp op;
+  op.baton = Count(doc, "baton");
+  op.session = Count(doc, "tenure");
+  op.orders = ParseOrders(doc);
+  return op;
+}
+
+namespace {
+
 std::string FormatRent(const CloudOp& op) {
   Writer w;
   w.Begin().Put("hire", op.name).Put("build", op.type).Put("yard", op.zone);
@@ -424,4 +499,129 @@
   return reply->lease != 0;
 }
 
+}  // namespace
+
+Call FormatCloudCall(const CloudOp& op) {
+  Call c;
+  c.timeout = Seconds(4);
+  switch (op.kind) {
+    case CloudOp::Kind::kTypes:
+      c.target = "/flavors";
+      break;
+    case CloudOp::Kind::kList:
+      c.target = "/rentals?limit=500";
+      if (!op.after.empty()) c.target += "&since=" + op.after;
+      break;
+    case CloudOp::Kind::kRent:
+      c.method = "POST";
+      c.target = "/rentals";
+      c.body = FormatRent(op);
+      break;
+    case CloudOp::Kind::kReturn:
+      c.method = "POST";
+      c.target = "/rentals/return";
+      c.body = FormatReturn(op);
+      break;
+  }
+  return c;
+}
+
+CloudReply ParseCloudAnswer(const CloudOp& op, int status, std::string_view body) {
+  using Outcome = CloudReply::Outcome;
+  CloudReply reply;
+  if (status == 200) {
+    bool good = true;
+    if (op.kind == CloudOp::Kind::kTypes) good = ParseTypes(body, &reply);
+    if (op.kind == CloudOp::Kind::kList) good = ParseListed(body, &reply);
+    if (op.kind == CloudOp::Kind::kRent) good = ParseRented(body, &reply);
+    reply.outcome = good ? Outcome::kOk : Outcome::kUnknown;
+  } else if (status == 503 && body.find("no capacity") != std::string_view::npos) {
+    reply.outcome = Outcome::kNoCapacity;
+  } else if (status == 400) {
+    reply.outcome = Outcome::kInvalid;
+  } else {
+    reply.outcome = Outcome::kBusy;
+  }
+  return reply;
+}
+
+Call FormatStateCall(const StateOp& op) {
+  using Kind = StateOp::Kind;
+  Call c;
+  c.timeout = Millis(1500);
+  switch (op.kind) {
+    case Kind::kGet:
+      c.target = "/store/" + op.key;
+      break;
+    case Kind::kList:
+      c.target = "/store?starts=" + op.key + "&limit=500";
+      if (!op.after.empty()) c.target += "&since=" + op.after;
+      c.timeout = Seconds(4);
+      break;
+    case Kind::kCommit:
+      c.method = "POST";
+      c.target = "/commit";
+      c.body = FormatCommit(op);
+      break;
+    case Kind::kGrant:
+      c.method = "POST";
+      c.target = "/grants";
+      c.body = FormatGrant(op);
+      c.timeout = Millis(1000);
+      break;
+    case Kind::kTouch:
+      c.method = "POST";
+      c.target = "/grants/" + std::to_string(op.lease) + "/touch";
+      c.body = "{}";
+      c.timeout = Millis(1000);
+      break;
+    case Kind::kRelease:
+      c.method = "DELETE";
+      c.target = "/grants/" + std::to_string(op.lease);
+      c.timeout = Millis(1000);
+      break;
+    case Kind::kWatch:
+      c.target = "/changes?starts=" + op.key + "&since=" + std::to_string(op.revision) +
+                 "&waitMs=" + std::to_string(op.span.ToMillis());
+      c.timeout = op.span + Seconds(3);
+      break;
+  }
+  return c;
+}
+
+StateReply ParseStateAnswer(const StateOp& op, int status, std::string_view body) {
+  using Kind = StateOp::Kind;
+  using Outcome = StateReply::Outcome;
+  StateReply reply;
+  bool good = true;
+  switch (status) {
+    case 200:
+      reply.outcome = Outcome::kOk;
+      if (op.kind == Kind::kGet) good = ParseEntry(body, &reply);
+      if (op.kind == Kind::kList) good = ParseEntries(body, &reply);
+      if (op.kind == Kind::kCommit) good = ParseCommit(body, &reply);
+      if (op.kind == Kind::kGrant) good = ParseGrant(body, &reply);
+      if (op.kind == Kind::kWatch) good = ParseChanges(body, &reply);
+      if (!good) reply.outcome = Outcome::kUnknown;
+      break;
+    case 404:
+      reply.outcome = Outcome::kMissing;
+      break;
+    case 409:
+      reply.outcome = Outcome::kConflict;
+      ParseCommit(body, &reply);
+      break;
+    case 410:
+      reply.outcome = Outcome::kCompacted;
+      break;
+    case 429:
+    case 503:
+      reply.outcome = Outcome::kRefused;
+      break;
+    default:
+      reply.outcome = status >= 200 && status < 300 ? Outcome::kOk : Outcome::kInvalid;
+  }
+  return reply;
+}
+
 }  // namespace badgershore::wire
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -10,6 +10,12 @@
 
 namespace badgershore::wire {
 
+// An HTTP request to the state service or the cloud.
+struct Call {
+  std::string method = "GET", target, body;
+  Micros timeout;
+};
+
 // Users.
 Submission ParseSubmission(std::string_view body, int64_t time_of_day_ms);
 bool ValidJobId(std::string_view id);
@@ -20,20 +26,17 @@
 std::string FormatCheckinAnswer(const CheckinAnswer& answer);
 std::string FormatDirect(const DirectOp& op);
 
+// The same from the worker's side.
+std::string FormatReport(const Report& report);
+CheckinAnswer ParseCheckinAnswer(int status, std::string_view body);
+std::optional<DirectOp> ParseDirect(std::string_view body);
+
 // Cloud.
-std::string FormatRent(const CloudOp& op);
-std::string FormatReturn(const CloudOp& op);
-bool ParseTypes(std::string_view body, CloudReply* reply);
-bool ParseRented(std::string_view body, CloudReply* reply);
-bool ParseListed(std::string_view body, CloudReply* reply);
+Call FormatCloudCall(const CloudOp& op);
+CloudReply ParseCloudAnswer(const CloudOp& op, int status, std::string_view body);
 
 // State service.
-std::string FormatCommit(const StateOp& op);
-std::string FormatGrant(const StateOp& op);
-bool ParseEntry(std::string_view body, StateReply* reply);
-bool ParseEntries(std::string_view body, StateReply* reply);
-bool ParseChanges(std::string_view body, StateReply* reply);
-bool ParseCommit(std::string_view body, StateReply* reply);
-bool ParseGrant(std::string_view body, StateReply* reply);
+Call FormatStateCall(const StateOp& op);
+StateReply ParseStateAnswer(const StateOp& op, int status, std::string_view body);
 
 }  // namespace badgershore::wire
