A gang's member that gave up waiting comes back without being lost from count

Cause: a member that exited `alone` before its gang ran was placed again under the same attempt on the same machine before the worker had been told to forget it. Change: such a member waits until the worker has forgotten its attempt; a placed member never takes over an entry.

--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -102,6 +102,7 @@
   void Bind(Micros now, Job* job, int task, const Able& able);
   void PlaceGangs(Micros now);
   bool PlaceGang(Micros now, Job* job);
+  bool AwaitsClear(Micros now, const Job& job, const std::vector<int>& members) const;
   static bool MayStop(const Occupant& o, const Job& gang);
   std::optional<double> CostToClear(Micros now, const Machine& m, const Job& gang) const;
   void ReserveFor(Micros now, Job* gang);
--- a/src/core/leader_checkins.cpp
+++ b/src/core/leader_checkins.cpp
@@ -87,7 +87,7 @@
   ++job->placed;
   ++job->zone_count[m->zone];
   const TaskRef ref{job->spec.id, task};
-  Occupant& o = m->occupants[{ref, attempt}];
+  Occupant& o = m->occupants.insert_or_assign({ref, attempt}, Occupant{}).first->second;
   o.ref = ref;
   o.attempt = attempt;
   o.job = job;
--- a/src/core/leader_gangs.cpp
+++ b/src/core/leader_gangs.cpp
@@ -209,12 +209,27 @@
   HaltNow(now, m);
 }
 
+// A member that left a gang still gathering (`alone`, refused) is replaced under the same attempt.
+// Until its worker has forgotten that attempt, the same machine can't take it again: a start would
+// do nothing there, and here the new member would be counted under the old one's entry, which has
+// exited. Elsewhere its image would have to be fetched once more, so it is waited for.
+bool Leader::AwaitsClear(Micros now, const Job& job, const std::vector<int>& members) const {
+  for (const auto& [id, m] : machines_) {
+    if (!Ready(*m, now)) continue;
+    for (int task : members) {
+      if (m->occupants.contains({{job.spec.id, task}, job.gang_attempt})) return true;
+    }
+  }
+  return false;
+}
+
 bool Leader::PlaceGang(Micros now, Job* job) {
   std::vector<int> members;
   for (int i = 0; i < job->spec.tasks; ++i) {
     if (job->tasks[static_cast<size_t>(i)].stage == TaskStage::kWaiting) members.push_back(i);
   }
   if (members.empty() || !LimitAllows(*job, static_cast<int>(members.size()))) return false;
+  if (job->gang_attempt != 0 && AwaitsClear(now, *job, members)) return false;
   struct Room {
     Machine* machine;
     Resources free;
