Renting by every aim, cheap machines first and kept ready; deadlines off what gangs clear

Change: all of a lane's aims count, the deadline first; machines at about the lowest price are rented so that all work that waits starts a boot and 5 s from now, and count alone for that, so dear ones are replaced; cheap ones are kept for what can't wait for a boot (mean and one deviation of what is under way, M/G/infinity, less where few jobs came); a job that can still meet its deadline stays off machines that gangs of higher rank may have cleared.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -182,6 +182,8 @@
         {"gang_idle_boots", number(&o.gang_idle_boots, 0, 1000)},
         {"gang_spare", number(&o.gang_spare, 0, 10)},
         {"arrival_doubt", number(&o.arrival_doubt, 0, 100)},
+        {"ready_spread", number(&o.ready_spread, 0, 10)},
+        {"ready_doubt", number(&o.ready_doubt, 0, 100)},
         {"drain_target_s", span(&o.drain_target, 1, 1e5)},
         {"drain_share", number(&o.drain_share, 0.01, 1)},
         {"boot_patience", number(&o.boot_patience, 1.5, 100)},
--- a/src/core/autoscale.cpp
+++ b/src/core/autoscale.cpp
@@ -6,10 +6,14 @@
 namespace {
 
 constexpr Micros kStreamWindow = Seconds(60);
-constexpr Micros kRateWindow = Seconds(90);
+constexpr Micros kCrowdWindow = Seconds(180);
 constexpr Micros kArrivalsKept = Seconds(120);
 constexpr Micros kGangMemory = Seconds(600);
-constexpr int kMostRented = 150;              // machines in one decision
+constexpr int kMostRented = 150;  // machines in one decision
+// A place at no more than so many times the lowest price is as good as the cheapest.
+constexpr double kNearCheapest = 1.6;
+constexpr Micros kSoon =
+    Seconds(5);  // cheap machines: all waiting work starts this long after a boot
 constexpr Micros kMinimumPaid = Seconds(60);  // a machine given back costs at least this much
 
 struct Room {
@@ -45,11 +49,12 @@
     const Micros left = job.arrived + within - view.now;
     if (left >= s.estimate + boot) best = std::min(best, left);
   };
-  if (s.due) {
-    consider(*s.due);
-  } else {
-    for (const Objective& o : *view.objectives) {
-      if (o.lane != s.lane || o.kind != "finished") continue;
+  // A deadline that can't be met any more leaves the lane's aims, which can.
+  if (s.due) consider(*s.due);
+  for (const Objective& o : *view.objectives) {
+    if (o.lane != s.lane) continue;
+    if (o.kind == "wait") consider(o.within + s.estimate);
+    if (o.kind == "finished") {
       consider(o.within.Scaled(options_.drain_share));
       consider(o.within);
     }
@@ -88,17 +93,30 @@
 
 void Autoscaler::Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros now) {
   if (spec.shape != Shape::kArray || slack > boot.Scaled(1.5)) return;
-  const double work = static_cast<double>(spec.need.cpu) * spec.tasks * spec.estimate.ToSeconds();
-  urgent_.Add(work, now);
+  urgent_.Add(static_cast<double>(spec.need.cpu) * spec.tasks, spec.estimate.ToSeconds(), now);
 }
 
-double Autoscaler::Rate::At(Micros now) const {
-  return value * std::exp(-(now - at).ToSeconds() / kRateWindow.ToSeconds());
+void Autoscaler::Crowd::Fade(Micros now) {
+  const double share = std::exp(-(now - at).ToSeconds() / kCrowdWindow.ToSeconds());
+  work *= share;
+  squares *= share * share;
+  bursts *= share;
+  at = now;
 }
 
-void Autoscaler::Rate::Add(double work, Micros now) {
-  value = At(now) + work / kRateWindow.ToSeconds();
-  at = now;
+void Autoscaler::Crowd::Add(double cpus, double seconds, Micros now) {
+  Fade(now);
+  work += cpus * seconds;
+  squares += cpus * seconds * cpus * seconds;
+  bursts += cpus * cpus * seconds;
+}
+
+// Jobs that come at random and all find room are under way in a number whose mean is the work that
+// comes in a second and whose variance is the sum of the squares of their sizes (M/G/infinity).
+double Autoscaler::Crowd::Mean() const { return work / kCrowdWindow.ToSeconds(); }
+double Autoscaler::Crowd::Spread() const { return std::sqrt(bursts / kCrowdWindow.ToSeconds()); }
+double Autoscaler::Crowd::Trust(double doubt) const {
+  return work > 0 ? std::max(0.0, 1 - doubt * squares / (work * work)) : 0;
 }
 
 void Autoscaler::NoteGang(const JobSpec& spec, Micros now) {
@@ -138,6 +156,18 @@
   return false;
 }
 
+bool Autoscaler::MayBeCleared(const JobSpec& spec, const MachineType& type, const std::string& zone,
+                              bool spot, Micros now) const {
+  if (spec.checkpoint_every.count > 0) return false;
+  for (const auto& [lane, need] : gang_needs_) {
+    if (now - need.last <= kArrivalsKept && need.spec.rank < spec.rank &&
+        Allows(need.spec, type, zone, spot)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 double Autoscaler::Price(const ScaleView& view, const Offer& offer) const {
   const MachineType& t = view.types->at(offer.type);
   return offer.spot ? t.spot_price : t.price;
@@ -277,69 +307,110 @@
     const Resources open = m.type->size - m.GangUse();
     return static_cast<double>(open.Holds(typical->spec.need) * typical->spec.need.cpu);
   };
-  double have = 0, up = 0;
-  std::vector<std::pair<Micros, double>> coming;  // what boots: how long still, and its capacity
+  double cheapest = 0;
+  if (typical) {
+    for (const auto& [name, type] : *view.types) {
+      for (bool spot : {false, true}) {
+        const double cap = capacity(type, typical->spec.zone.value_or(""), spot);
+        if (cap <= 0) continue;
+        const double price = Price(view, {name, "", spot}) / cap;
+        if (cheapest == 0 || price < cheapest) cheapest = price;
+      }
+    }
+  }
+  const auto cheap = [&](const Offer& offer, double cap) {
+    return cap > 0 && Price(view, offer) <= kNearCheapest * cheapest * cap;
+  };
+  double have = 0, up = 0, cheap_have = 0, cheap_up = 0;
+  struct Coming {
+    Micros wait;  // how long it still boots
+    double capacity = 0;
+    bool cheap = false;
+  };
+  std::vector<Coming> coming;
   for (Machine* m : view.machines) {
     if (!Usable(*m) || m->retiring) continue;
     const double c = capacity_of(*m);
+    const bool is_cheap = cheap({m->type_name, m->zone, m->spot}, c);
     have += c;
+    if (is_cheap) cheap_have += c;
     if (m->stage == MachineStage::kUp) {
       up += c;
+      if (is_cheap) cheap_up += c;
     } else {
       const Micros age = view.now - m->rented_at;
-      coming.emplace_back(std::max(m->type->boot - age, m->type->boot.Scaled(0.1)), c);
+      coming.push_back({std::max(m->type->boot - age, m->type->boot.Scaled(0.1)), c, is_cheap});
     }
   }
   for (const auto& [offer, count] : view.pending) {
     const MachineType& t = view.types->at(offer.type);
     const double c = count * capacity(t, offer.zone, offer.spot);
     have += c;
-    coming.emplace_back(t.boot, c);
+    const bool is_cheap = cheap(offer, capacity(t, offer.zone, offer.spot));
+    if (is_cheap) cheap_have += c;
+    coming.push_back({t.boot, c, is_cheap});
   }
   // What has to be done by each time, against what the machines there are can do by then. A new
   // one helps only with what is left after its boot, and only with whole tasks.
   // What surely goes on arriving takes its part of all this.
   stream_.Fade(view.now);
   const double stream = stream_.Sure(options_.arrival_doubt);
-  double keep = stream, deficit = 0, sum = 0;
-  for (const Wish& w : wishes) {
-    sum += w.work;
-    const double left = w.left.ToSeconds();
-    keep = std::max(keep, sum / left + stream);
-    double can = std::max(0.0, up - replicas) * left - stream * left;
-    for (const auto& [wait, c] : coming) can += c * std::max(0.0, left - wait.ToSeconds());
-    double helps = left - quickest.ToSeconds();
-    const double est = std::max(1.0, w.estimate.ToSeconds());
-    if (helps >= est) helps = std::floor(helps / est) * est;
-    if (helps > 0) deficit = std::max(deficit, (sum - can) / helps);
-  }
+  double keep = stream, deficit = 0;
+  const auto measure = [&](double* kept, bool cheap_only) {
+    double worst = 0, sum = 0;
+    for (const Wish& w : wishes) {
+      sum += w.work;
+      const double left = w.left.ToSeconds();
+      if (kept) *kept = std::max(*kept, sum / left + stream);
+      double can = std::max(0.0, (cheap_only ? cheap_up : up) - replicas) * left - stream * left;
+      for (const Coming& c : coming) {
+        if (cheap_only && !c.cheap) continue;
+        can += c.capacity * std::max(0.0, left - c.wait.ToSeconds());
+      }
+      double helps = left - quickest.ToSeconds();
+      const double est = std::max(1.0, w.estimate.ToSeconds());
+      if (helps >= est) helps = std::floor(helps / est) * est;
+      if (helps > 0) worst = std::max(worst, (sum - can) / helps);
+    }
+    const double there = cheap_only ? cheap_have : have;
+    return std::max(std::min(worst, widest + stream + replicas - there), replicas - there);
+  };
+  deficit = measure(&keep, false);
+  // What is cheapest costs the same whenever the work is done: as soon as it can be.
+  for (Wish& w : wishes) w.left = std::min(w.left, quickest + w.estimate + kSoon);
+  std::sort(wishes.begin(), wishes.end(),
+            [](const Wish& a, const Wish& b) { return a.left < b.left; });
+  double soon = std::max(deficit, measure(nullptr, true));
   const double need = std::min(keep, widest + stream) + replicas;
-  deficit = std::max(std::min(deficit, widest + stream + replicas - have), replicas - have);
-  const double decayed = urgent_.At(view.now);
+  urgent_.Fade(view.now);
+  const double ready = (urgent_.Mean() + options_.ready_spread * urgent_.Spread()) *
+                       urgent_.Trust(options_.ready_doubt);
   summary_ += "need " + std::to_string(static_cast<int>(need / 1000)) + " short " +
               std::to_string(static_cast<int>(deficit / 1000)) + " have " +
               std::to_string(static_cast<int>(have / 1000)) + " stream " +
               std::to_string(static_cast<int>(stream / 1000)) + " up " +
               std::to_string(static_cast<int>(up / 1000)) + " running " +
-              std::to_string(static_cast<int>(running / 1000)) + " rate " +
-              std::to_string(static_cast<int>(decayed / 1000));
+              std::to_string(static_cast<int>(running / 1000)) + " ready " +
+              std::to_string(static_cast<int>(ready / 1000));
 
-  if (typical && deficit > 0) {
+  soon = std::max(soon, ready - cheap_have);
+  if (typical && soon > 0) {
     // Machines on their way back are the cheapest to get.
     for (Machine* m : view.machines) {
-      if (deficit <= 0) break;
+      if (soon <= 0) break;
       if (!m->retiring || !Usable(*m)) continue;
       plan->unretire.push_back(m);
       const double c = capacity_of(*m);
       have += c;
       deficit -= c;
+      soon -= c;
     }
   }
-  if (typical && deficit > 0) {
+  if (typical && soon > 0) {
     std::map<Offer, int> wanted;
     const std::vector<Offer> offers = OffersFor(view, typical->spec);
     int rounds = 0;
-    while (deficit > 0 && ++rounds <= kMostRented) {
+    while (soon > 0 && ++rounds <= kMostRented) {
       const Offer* best = nullptr;
       double best_cost = 0, best_cap = 0;
       for (const Offer& o : offers) {
@@ -347,8 +418,12 @@
         const double cap = capacity(t, o.zone, o.spot);
         if (cap <= 0) continue;
         // What is there may do the work before the new machine is up.
-        if (up > 0 && replicas == 0 && waiting_work / up < t.boot.ToSeconds()) continue;
-        const double cost = Price(view, o) / std::min(cap, std::max(deficit, 1.0));
+        if (!cheap(o, cap) && up > 0 && replicas == 0 && waiting_work / up < t.boot.ToSeconds()) {
+          continue;
+        }
+        if (deficit <= 0 && !cheap(o, cap)) continue;
+        const double cost =
+            Price(view, o) / std::min(cap, std::max(deficit > 0 ? deficit : soon, 1.0));
         if (!best || cost < best_cost) {
           best = &o;
           best_cost = cost;
@@ -358,6 +433,7 @@
       if (!best) break;
       ++wanted[*best];
       deficit -= best_cap;
+      soon -= best_cap;
     }
     for (const auto& [offer, count] : wanted) plan->rent.push_back({offer, count});
   }
@@ -392,18 +468,7 @@
   }
   recent_at_ = view.now;
   recent_need_ = std::max(recent_need_, need * 1.2);
-  const double floor = std::max(recent_need_, decayed * 1.1);
-  double cheapest = 0;
-  if (typical) {
-    for (const auto& [name, type] : *view.types) {
-      for (bool spot : {false, true}) {
-        const double cap = capacity(type, typical->spec.zone.value_or(""), spot);
-        if (cap <= 0) continue;
-        const double price = Price(view, {name, "", spot}) / cap;
-        if (cheapest == 0 || price < cheapest) cheapest = price;
-      }
-    }
-  }
+  const double floor = std::max(recent_need_, urgent_.Mean() * 1.1);
   struct Spare {
     Machine* machine;
     double price, cap;
@@ -418,8 +483,13 @@
     const Micros held = view.now - m->rented_at;
     if (m->idle_since.count >= 0) {
       const Micros limit = m->retiring ? Seconds(0) : m->type->boot.Scaled(options_.idle_boots);
+      const double c = capacity_of(*m);
+      const bool is_cheap = !m->retiring && cheap({m->type_name, m->zone, m->spot}, c);
+      // Given back by idleness alone, the cheap ones went and the dear ones, rented later, stayed.
+      if (is_cheap && cheap_have - c < ready) continue;
       if (!gang_lately && view.now - m->idle_since >= limit && held >= kMinimumPaid) {
         plan->give_back.push_back(m);
+        if (is_cheap) cheap_have -= c;
         continue;
       }
     }
@@ -436,7 +506,8 @@
            std::make_tuple(-b.price, b.tasks, b.machine->id);
   });
   for (const Spare& s : spares) {
-    if (have - s.cap < (s.price > 1.6 * cheapest ? floor : std::max(floor, running))) continue;
+    if (have - s.cap < (s.price > kNearCheapest * cheapest ? floor : std::max(floor, running)))
+      continue;
     plan->retire.push_back(s.machine);
     have -= s.cap;
   }
--- a/src/core/autoscale.h
+++ b/src/core/autoscale.h
@@ -59,6 +59,10 @@
 
   // Whether gangs were seen lately that need most of such a machine.
   bool ForGangs(const MachineType& type, const std::string& zone, bool spot, Micros now) const;
+  // Whether gangs of higher rank came lately that may have such a machine cleared of the job's
+  // tasks.
+  bool MayBeCleared(const JobSpec& spec, const MachineType& type, const std::string& zone,
+                    bool spot, Micros now) const;
   void NoteGang(const JobSpec& spec, Micros now);
   void GangArrived(const JobSpec& spec, Micros at);
   std::string Summary() const { return summary_; }
@@ -72,13 +76,6 @@
 
   const Options& options_;
   std::map<Offer, Micros> refused_until_;
-  // Arriving work in thousandths of a CPU, over the last minute and a half.
-  struct Rate {
-    double value = 0;
-    Micros at;
-    double At(Micros now) const;
-    void Add(double work, Micros now);
-  };
   // All work of arrays, and how much of it hangs on single jobs.
   struct Stream {
     double sum = 0, squares = 0;
@@ -88,7 +85,20 @@
     double Sure(double doubt) const;
   };
   Stream stream_;
-  Rate urgent_;  // what can't wait for a boot
+  // What can't wait for a boot has to find its room there: how much of it is under way at a time
+  // where nothing ever waits, by what came of late.
+  struct Crowd {
+    double work = 0;     // sum of the jobs' CPU seconds
+    double squares = 0;  // of their squares
+    double bursts = 0;   // of the squares of their CPUs, times the seconds each runs
+    Micros at;
+    void Fade(Micros now);
+    void Add(double cpus, double seconds, Micros now);
+    double Mean() const;
+    double Spread() const;  // the standard deviation
+    double Trust(double doubt) const;
+  };
+  Crowd urgent_;
   struct GangNeed {
     JobSpec spec;
     Micros last;
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -99,6 +99,7 @@
   bool LimitAllows(const Job& job, int more) const;
   Resources RoomFor(const Machine& m, const Job& job, const Resources& used, Micros now) const;
   void BindWaiting(Micros now);
+  bool Shuns(Micros now, const Job& job, const Machine& m) const;
   void Bind(Micros now, Job* job, int task, const Able& able);
   void PlaceGangs(Micros now);
   bool PlaceGang(Micros now, Job* job);
--- a/src/core/leader_checkins.cpp
+++ b/src/core/leader_checkins.cpp
@@ -184,7 +184,7 @@
     if (best && order(best) <= order(job)) {
       continue;
     }
-    if (!Allows(job->spec, *m->type, m->zone, m->spot) ||
+    if (!Allows(job->spec, *m->type, m->zone, m->spot) || Shuns(now, *job, *m) ||
         !job->spec.need.Fits(RoomFor(*m, *job, *used, now)) || Held(*job) ||
         !ZoneAllows(*job, m->zone) || !LimitAllows(*job, 1)) {
       continue;
@@ -199,6 +199,14 @@
   return true;
 }
 
+// A job that can still meet its deadline stays off machines that gangs may have cleared: a task
+// that is stopped runs from its beginning, and a deadline seldom leaves time for that. What can't
+// meet its deadline any more, or has none, fills them meanwhile.
+bool Leader::Shuns(Micros now, const Job& job, const Machine& m) const {
+  return job.spec.due && now < job.arrived + *job.spec.due - job.spec.estimate.Scaled(0.8) &&
+         scaler_.MayBeCleared(job.spec, *m.type, m.zone, m.spot, now);
+}
+
 void Leader::Bind(Micros now, Job* job, int task, const Able& able) {
   Machine* m = able.machine;
   TaskState& t = job->tasks[static_cast<size_t>(task)];
@@ -237,7 +245,7 @@
     spent += machines_.size() + job->waiting.size();
     for (auto& [mid, m] : machines_) {
       if (!Ready(*m, now) || !Allows(job->spec, *m->type, m->zone, m->spot)) continue;
-      if (!ZoneAllows(*job, m->zone)) continue;
+      if (!ZoneAllows(*job, m->zone) || Shuns(now, *job, *m)) continue;
       const Resources open = RoomFor(*m, *job, m->GangUse(), now);
       if (!job->spec.need.Fits(open)) continue;
       able.push_back({m.get(), open});
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -387,6 +387,7 @@
                  static_cast<int64_t>(w.Number("mem", 1) * 1000)};
     spec.image = "image";
     spec.estimate = Seconds(w.Number("estimate", 30));
+    if (w.named.contains("due")) spec.due = Seconds(w.Number("due", 0));
     spec.checkpoint_every = Seconds(w.Number("checkpoint", 0));
     spec.save_time = Seconds(w.Number("save", 0));
     spec.same_zone = w.Has("same_zone");
