A leader that hears no machine gives way to a peer that hears them

Change: where no machine has been heard for 4 s, and a peer that reaches the state service says in its note that workers report to it, the leader steps down and stands aside for 15 s. While most machines are silent, one is given back only after its lease has run out too. Notes carry the new field at their end, so versions understand each other.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -92,10 +92,25 @@
   return true;
 }
 
+// A leader that the workers don't reach can start nothing, and would in the end give all its
+// machines back, while they report to a peer that sends them here again. Where a peer that reaches
+// the state service hears them, that one is to lead. Nobody's word for it: no step aside, since
+// then the fault may be the workers'.
+void Controller::GiveWay(Micros now) {
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard_at > Millis(1500) || !peer.note.state_ok || !peer.note.hears_workers) {
+      continue;
+    }
+    return election_->StepDown(
+        now, "no machine is heard here any more, but " + name + " hears them", Seconds(15));
+  }
+}
+
 void Controller::Tick(Micros now, int64_t time_of_day_ms) {
   time_of_day_ms_ = time_of_day_ms;
   election_->Tick(now);
   if (leader_) leader_->Tick(now);
+  if (leader_ && leader_->Deaf(now)) GiveWay(now);
   if (!looking_ && now >= look_at_ && now - state_ok_at_ > Millis(900)) {
     looking_ = true;
     look_at_ = now + Millis(900);
@@ -110,6 +125,7 @@
     note.term = election_->seen_term();
     note.leader = election_->leader();
     note.state_ok = now - state_ok_at_ < Seconds(2);
+    note.hears_workers = now - checkin_at_ < Seconds(2);
     if (leader_) note.jobs = leader_->Digests();
     asker_.out.notes.push_back(std::move(note));
   }
@@ -138,6 +154,7 @@
 
 void Controller::OnCheckin(Micros now, RequestId token, const Report& report) {
   election_->NoteBaton(report.baton);
+  checkin_at_ = now;
   CheckinAnswer answer;
   answer.token = token;
   if (leader_ && report.baton > election_->term()) {
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -38,6 +38,7 @@
   std::string NeverRuns(const JobSpec& spec) const;
   JobDigest DigestOf(const std::string& job) const;
   std::string LeaderName(Micros now) const;
+  void GiveWay(Micros now);
 
   PlatformSettings settings_;
   Options options_;
@@ -50,6 +51,7 @@
   std::unique_ptr<Leader> former_;  // freed when no call of its is on the stack
   int64_t time_of_day_ms_ = 0;
   Micros state_ok_at_{-1000000000};
+  Micros checkin_at_{-1000000000};  // the last report of a worker
   Micros look_at_, note_at_;
   bool looking_ = false;
   struct Peer {
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -149,6 +149,7 @@
   std::string leader;
   bool state_ok = false;
   std::vector<JobDigest> jobs;
+  bool hears_workers = false;  // some worker has reported there of late
 };
 
 struct LogLine {
--- a/src/core/election.cpp
+++ b/src/core/election.cpp
@@ -107,12 +107,12 @@
   });
 }
 
-void Election::StepDown(Micros now, const std::string& why) {
+void Election::StepDown(Micros now, const std::string& why, Micros aside) {
   if (!leads()) return;
   asker_->Info("stepping down from term " + std::to_string(term_) + ": " + why);
   role_ = Role::kFollower;
   if (leader_ == member_) leader_.clear();
-  stand_at_ = now + Millis(500);
+  stand_at_ = now + aside;
   StateOp drop;
   drop.kind = StateOp::Kind::kRelease;
   drop.lease = lease_id_;
--- a/src/core/election.h
+++ b/src/core/election.h
@@ -22,7 +22,8 @@
   Election(Asker* asker, std::string member, int position, Micros lease, Callbacks callbacks);
 
   void Tick(Micros now);
-  void StepDown(Micros now, const std::string& why);
+  // `aside`: no standing again before.
+  void StepDown(Micros now, const std::string& why, Micros aside = Millis(500));
 
   bool leads() const { return role_ == Role::kLeader; }
   // The lease surely holds at `now`, counted from when its last renewal was sent.
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -54,6 +54,8 @@
   std::vector<JobDigest> Digests() const;
   bool ready() const { return ready_; }
   Micros AnswerUntil() const;
+  // Machines were heard in this term, and for so long none was that it can't be chance.
+  bool Deaf(Micros now) const;
 
  private:
   struct PendingRent {
@@ -171,6 +173,8 @@
   std::vector<Machine*> unresolved_;
   std::vector<Job*> waiting_gangs_;
   std::string bound_last_;  // the job that was bound last
+  int up_ = 0;              // machines that are up, as of the last tick
+  Micros last_heard_{-1};   // of any machine in this term
   Resources least_need_;    // no live job's task takes less, as of the last tick or arrival
   uint64_t attempts_ = 0;
   Pages fleet_pages_, progress_pages_;
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -177,7 +177,7 @@
   }
   m->session = r.session;
   m->seq = r.seq;
-  m->heard_at = now;
+  m->heard_at = last_heard_ = now;
   if (m->endpoint.empty()) m->endpoint = r.endpoint;
   if (m->type_name.empty()) {
     m->type_name = r.type;
@@ -330,6 +330,13 @@
   if (current) TaskBack(now, job, o->ref.task, pause);
 }
 
+bool Leader::Deaf(Micros now) const {
+  if (!ready_ || up_ == 0 || last_heard_.count < 0) return false;
+  constexpr int kSurely = 8;  // reports that should have come in meanwhile
+  return now - last_heard_ >
+         std::max(Seconds(4), settings().report_every.Scaled(1.0 * kSurely / up_));
+}
+
 void Leader::WatchMachines(Micros now) {
   int heard = 0, up = 0;
   for (auto& [id, m] : machines_) {
@@ -341,6 +348,7 @@
     ++up;
     heard += now - m->heard_at < options().silent_probe;
   }
+  up_ = up;
   int probes = 0;
   // Where most are silent the fault is likely ours, and returning them would lose everything.
   const bool ours = heard * 2 < up;
@@ -374,8 +382,9 @@
       GiveBack(now, m, "does not answer the new term");
       continue;
     }
-    if (silent > options().silent_return + settings().report_every &&
-        (!ours || now - began_ > settings().worker_lease + options().silent_return)) {
+    // Where the fault is ours a machine is given back only when its lease has long run out.
+    if (silent >
+        options().silent_return + (ours ? settings().worker_lease : settings().report_every)) {
       GiveBack(now, m, was_heard ? "silent" : "never heard in this term");
       continue;
     }
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -23,7 +23,8 @@
   std::ostringstream out;
   {
     cereal::PortableBinaryOutputArchive ar(out);
-    ar(note);
+    // What came with later versions stands at the end: an earlier one doesn't read it.
+    ar(note, note.hears_workers);
   }
   const std::string body = out.str();
   std::string framed(4, '\0');
@@ -34,11 +35,15 @@
 std::optional<PeerNote> Decode(std::string_view body) {
   std::istringstream in{std::string(body)};
   PeerNote note;
+  bool whole = false;
   try {
     cereal::PortableBinaryInputArchive ar(in);
     ar(note);
+    whole = true;
+    ar(note.hears_workers);
   } catch (const std::exception&) {
-    return std::nullopt;
+    if (!whole) return std::nullopt;
+    note.hears_workers = false;  // of an earlier version
   }
   return note;
 }
--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -188,9 +188,10 @@
 }
 INSTANTIATE_TEST_SUITE_P(Nights, KeptNight,
                          testing::Values("all-at-once", "all-killed-thrice", "cloud-down-at-dusk",
-                                         "disk-full", "grants-vanish", "leader-without-state",
-                                         "quiet", "resets", "spot-wave", "state-down", "state-late",
-                                         "state-mute", "state-restarts", "zone-cut-off"),
+                                         "disk-full", "grants-vanish", "leader-unheard",
+                                         "leader-without-state", "quiet", "resets", "spot-wave",
+                                         "state-down", "state-late", "state-mute", "state-restarts",
+                                         "zone-cut-off"),
                          [](const auto& info) {
                            std::string name = info.param;
                            std::replace(name.begin(), name.end(), '-', '_');
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -253,6 +253,16 @@
     if (verb == "store") return CheckStore(w);
     if (verb == "elsewhere") return Elsewhere(w);
     if (verb == "cloud") return SetCloud(w, tail);
+    if (verb == "peer") {
+      PeerNote note;
+      note.from = w.At(1);
+      note.term = static_cast<uint64_t>(w.Number("term", 1));
+      note.leader = w.Text("leader", "m-0");
+      note.state_ok = w.Has("state");
+      note.hears_workers = w.Has("hears");
+      core_->OnPeer(now_, note);
+      return Pump();
+    }
     if (verb == "leads" || verb == "follows") {
       if (core_->leads() != (verb == "leads")) throw Stop{"it is the other way round"};
       return;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -126,7 +126,7 @@
 }
 
 TEST(Peers, NotesComeBackAndNoiseDoesNot) {
-  PeerNote note{"m-1", 7, "m-2", true, {{"job-1", 3, 4}}};
+  PeerNote note{"m-1", 7, "m-2", true, {{"job-1", 3, 4}}, true};
   const std::string frame = peer::Encode(note);
   const auto size = peer::BodySize(frame);
   ASSERT_TRUE(size);
@@ -135,6 +135,11 @@
   ASSERT_TRUE(back);
   EXPECT_EQ(back->leader, "m-2");
   EXPECT_EQ(back->jobs[0].running, 4);
+  EXPECT_TRUE(back->hears_workers);
+  // A note of the version before, which ended with the jobs, is good still.
+  const auto earlier = peer::Decode(std::string_view(frame).substr(4, *size - 1));
+  ASSERT_TRUE(earlier);
+  EXPECT_FALSE(earlier->hears_workers);
   EXPECT_FALSE(peer::Decode(std::string_view(frame).substr(4, *size / 2)));
   EXPECT_FALSE(peer::BodySize(std::string("\xff\xff\xff\xff", 4)));
 }
