Supervisor: work that does not move is told, and put right where that is safe

Need: a gang stood open for ever and no word in the log said so. Change: every 5 s the leader looks for jobs that have not moved for longer than their next step can take (two boots, a gang's wait, four estimates, 300 s at least), logs why each waits (end to be written, unresolved machines, lease, limit, pause, no machine, room, records), counts them anew from what is on machines, gives back a machine that it differs with, and stops and retries a gang that only gathers. A gang that runs is left alone. badgershore-rehearse prints this of every job that is open at the end.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -174,6 +174,7 @@
          Field{1, 100000, [&o](double v) { o.bind_window = static_cast<int>(v); }}}}},
       {"failover",
        {{"lease_s", span(&o.lease, 1, 60)},
+        {"stuck_after_s", span(&o.stuck_after, 1, 1e6)},
         {"silent_probe_s", span(&o.silent_probe, 0.5, 600)},
         {"silent_return_s", span(&o.silent_return, 1, 600)},
         {"resolve_wait_s", span(&o.resolve_wait, 0.5, 600)}}},
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -52,6 +52,9 @@
   std::multimap<Micros, int> delayed;        // after failures
   int queued = 0;
 
+  Micros moved_at;       // a task was started, came back or was done
+  Micros told_stuck_at;  // no word that it does not move before
+
   uint64_t gang_attempt = 0;  // 0: not placed
   bool gang_ran = false;      // some member was seen running in this attempt
   bool gang_stopping = false;
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -138,6 +138,7 @@
   job->stamp = stamp;
   const int64_t today_ms = began_ms_ + (now - began_).ToMillis();
   job->arrived = now - Millis(std::clamp<int64_t>(today_ms - spec.submitted_ms, 0, 86400000));
+  job->moved_at = now;
   for (const Objective& o : settings().objectives) {
     if (o.lane != spec.lane) continue;
     if (o.kind == "wait") job->start_by = job->arrived + o.within;
@@ -233,6 +234,7 @@
     if (t.stage == TaskStage::kDone) return;
     t.stage = TaskStage::kDone;
     ++job->done;
+    job->moved_at = now;
     Pages::Page*& page = job->chunks[static_cast<size_t>(i / kChunkTasks)];
     if (page) {
       progress_pages_.Touch(page, false, now);
@@ -331,6 +333,7 @@
   WatchMachines(now);
   if (!election()->leads()) return;
   MarkGuaranteed();
+  Supervise(now);
   bool first = true;
   for (auto& [id, job] : jobs_) {
     if (job->gang()) continue;
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -56,6 +56,8 @@
   Micros AnswerUntil() const;
   // Machines were heard in this term, and for so long none was that it can't be chance.
   bool Deaf(Micros now) const;
+  // What the reign believes of a job, and why it waits: for people.
+  std::string Explain(Micros now, const std::string& job) const;
 
  private:
   struct PendingRent {
@@ -126,6 +128,12 @@
                 std::vector<Order>* orders);
   uint64_t NextAttempt() { return (election()->term() << 24) + ++attempts_; }
 
+  // Work that does not move.
+  std::string WhyItWaits(Micros now, const Job& job) const;
+  Micros Patience(const Job& job) const;
+  void Supervise(Micros now);
+  void Recount(Micros now, Job* job);
+
   // Durable writes.
   void Write(Micros now);
   struct Batch;
@@ -170,6 +178,7 @@
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, std::unique_ptr<Machine>> machines_;
   std::map<std::string, Micros> tombstones_;  // returned, may still be heard of
+  Micros supervise_at_;
   std::vector<Machine*> unresolved_;
   std::vector<Job*> waiting_gangs_;
   std::string bound_last_;  // the job that was bound last
--- a/src/core/leader_checkins.cpp
+++ b/src/core/leader_checkins.cpp
@@ -85,6 +85,7 @@
   t.bound_at = now;
   t.attempt = attempt;
   ++job->placed;
+  if (!job->gang()) job->moved_at = now;
   ++job->zone_count[m->zone];
   const TaskRef ref{job->spec.id, task};
   Occupant& o = m->occupants.insert_or_assign({ref, attempt}, Occupant{}).first->second;
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -254,7 +254,7 @@
           asker()->Debug("gang " + o.job->spec.id + " runs after " +
                          std::to_string((now - o.job->arrived).ToMillis()) + " ms");
         }
-        o.job->gang_ran = true;
+        if (!std::exchange(o.job->gang_ran, true)) o.job->moved_at = now;
       }
     }
     o.state = t.state;
--- /dev/null
+++ b/src/core/leader_supervise.cpp
@@ -0,0 +1,130 @@
+// Work that has not moved for far longer than it can take: why it waits, and what can safely be
+// done.
+#include "core/leader.h"
+
+namespace badgershore {
+namespace {
+
+constexpr Micros kLookEvery = Seconds(5);
+
+std::string Number(int64_t n) { return std::to_string(n); }
+
+}  // namespace
+
+// Everything that a job's next step can hang on, in the order in which it would be met.
+std::string Leader::WhyItWaits(Micros now, const Job& job) const {
+  if (job.finishing) return "all done, its end waits to be written";
+  if (Held(job)) return Number(static_cast<int64_t>(unresolved_.size())) + " machines unresolved";
+  if (!election()->MayStart(now)) return "the lease does not hold";
+  if (!LimitAllows(job, job.gang() ? job.left() - job.placed : 1)) return "its team's limit";
+  if (job.gang() && job.gang_stopping) return "its last attempt is being stopped";
+  if (now < job.not_before) return "a pause after failures";
+  if (!job.gang() && !job.delayed.empty() && job.waiting.empty() && job.queued == 0 &&
+      job.placed == 0) {
+    return "a pause after failures";
+  }
+  int able = 0, ready = 0, room = 0, unrecorded = 0;
+  for (const auto& [id, m] : machines_) {
+    if (!m->type || !Allows(job.spec, *m->type, m->zone, m->spot) || !ZoneAllows(job, m->zone)) {
+      continue;
+    }
+    ++able;
+    if (!Ready(*m, now)) continue;
+    ++ready;
+    unrecorded += !m->recorded;
+    room += job.spec.need.Fits(RoomFor(*m, job, m->Used(), now));
+  }
+  if (able == 0) return "no machine that may hold it";
+  if (ready == 0) return "none of its " + Number(able) + " machines is ready";
+  if (room == 0) return "no room on " + Number(ready) + " machines";
+  if (unrecorded == ready) return "the records of its machines wait to be written";
+  if (job.placed > 0) return "its tasks on machines do not end";
+  return "room on " + Number(room) + " of " + Number(ready) + " machines, and nothing in the way";
+}
+
+std::string Leader::Explain(Micros now, const std::string& id) const {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) return id + ": not known to the leader";
+  const Job& job = *it->second;
+  std::string out = id + ": " + Number(job.done) + " of " + Number(job.spec.tasks) +
+                    " tasks done, " + Number(job.placed) + " on machines, " + Number(job.running) +
+                    " running, " + Number(job.queued) + " in queues";
+  if (job.gang()) out += ", attempt " + Number(static_cast<int64_t>(job.gang_attempt & 0xffffff));
+  return out + "; not moved for " + Number((now - job.moved_at).ToMillis() / 1000) +
+         " s: " + WhyItWaits(now, job);
+}
+
+// So long the job's next step may take: a boot that is tried twice, an image, a run, a gang's wait.
+Micros Leader::Patience(const Job& job) const {
+  Micros boot;
+  for (const auto& [name, type] : *context_.types) boot = std::max(boot, type.boot);
+  const Micros usual = boot.Scaled(2 * options().boot_patience) + settings().gang_wait.Scaled(2) +
+                       job.spec.estimate.Scaled(4);
+  return std::max(options().stuck_after, usual);
+}
+
+void Leader::Supervise(Micros now) {
+  if (now < supervise_at_) return;
+  supervise_at_ = now + kLookEvery;
+  for (auto& [id, ptr] : jobs_) {
+    Job* job = ptr.get();
+    if (job->service() && job->placed == job->left()) continue;
+    if (now - job->moved_at < Patience(*job) || now < job->told_stuck_at) continue;
+    job->told_stuck_at = now + Patience(*job);
+    asker()->Info("stuck: " + Explain(now, id));
+    Recount(now, job);
+    // One that only gathers is stopped as after the loss of a member: it starts anew when all of it
+    // is proved gone. One that runs may just take long.
+    if (job->gang() && job->placed > 0 && !job->gang_ran && !job->gang_stopping) {
+      asker()->Info("stuck: " + id + " is stopped and tried again");
+      HaltGang(now, job, job->spec.save_time);
+    }
+  }
+}
+
+// What is on machines is the truth, a job's counts are drawn from it. Where they differ there is a
+// fault in here; the job goes on all the same. A task that is said to be on a machine which holds
+// nothing of it is not simply started elsewhere: the machine goes back first, and the cloud's word
+// is the proof that nothing runs there.
+void Leader::Recount(Micros now, Job* job) {
+  int placed = 0, running = 0;
+  std::map<std::string, int> zones;
+  std::vector<char> there(job->tasks.size(), 0);
+  std::set<const Machine*> known;
+  for (auto& [id, m] : machines_) {
+    known.insert(m.get());
+    for (auto& [key, o] : m->occupants) {
+      if (o.job != job || o.exited()) continue;
+      ++placed;
+      running += o.state == RunState::kRunning;
+      ++zones[m->zone];
+      const TaskState& t = job->tasks[static_cast<size_t>(o.ref.task)];
+      if (t.machine == m.get() && t.attempt == o.attempt)
+        there[static_cast<size_t>(o.ref.task)] = 1;
+    }
+  }
+  std::set<Machine*> doubtful;
+  int lost = 0;
+  for (int i = 0; i < job->spec.tasks; ++i) {
+    TaskState& t = job->tasks[static_cast<size_t>(i)];
+    if (t.stage == TaskStage::kPlaced && !there[static_cast<size_t>(i)]) {
+      ++lost;
+      if (known.contains(t.machine)) {
+        doubtful.insert(t.machine);
+      } else {
+        TaskBack(now, job, i, {});
+      }
+    }
+  }
+  if (lost == 0 && placed == job->placed && running == job->running) return;
+  asker()->Log(LogLine::Level::kError,
+               "counts of " + job->spec.id + " were wrong: " + Number(job->placed) +
+                   " tasks on machines for " + Number(placed) + ", " + Number(job->running) +
+                   " running for " + Number(running) + ", " + Number(lost) + " lost");
+  job->placed = placed;
+  job->running = running;
+  job->zone_count = zones;
+  for (Machine* m : doubtful) GiveBack(now, m, "it and the leader differ on what it runs");
+}
+
+}  // namespace badgershore
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -186,6 +186,8 @@
   double ready_doubt = 2;    // so few such jobs of late foretell nothing
   double boot_patience = 1.8;
   Micros refusal_memory = Seconds(20);
+  Micros stuck_after =
+      Seconds(300);  // a job that has not moved for this long, at least, is looked at
   int bind_window = 1024;
 };
 
--- a/src/programs/rehearse.cpp
+++ b/src/programs/rehearse.cpp
@@ -84,6 +84,7 @@
                 Quantile(waits, 0.99));
   }
   std::printf("  %.0f s played in %.1f s; price %.2f\n", r.simulated_s, wall_s, r.price);
+  for (const std::string& belief : r.beliefs) std::printf("  open: %s\n", belief.c_str());
   size_t shown = 0;
   for (const auto& b : r.broken) {
     if (++shown > 10) break;
--- a/src/rehearsal/world.cpp
+++ b/src/rehearsal/world.cpp
@@ -692,6 +692,11 @@
     result_.done += phase == "done";
     result_.withdrawn += phase == "withdrawn";
     result_.open += phase == "open";
+    if (phase != "open" || outside_) continue;
+    const int leader = Leader();
+    result_.beliefs.push_back(
+        leader < 0 ? id + ": nobody leads"
+                   : nodes_[static_cast<size_t>(leader)].core->leader()->Explain(now_, id));
   }
   for (const auto& [id, job] : jobs_) result_.open += job.gave_up;
   double cheapest = 1e9;
--- a/src/rehearsal/world.h
+++ b/src/rehearsal/world.h
@@ -28,7 +28,8 @@
   std::vector<Broken> broken;
   std::map<std::string, std::vector<double>> waits;  // by class: submission to told done, seconds
   double price = 0, simulated_s = 0;
-  std::string history, log;  // lines
+  std::string history, log;          // lines
+  std::vector<std::string> beliefs;  // of the leader, on each job that is open at the end
   bool clean() const { return broken.empty() && open == 0; }
 };
 
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -243,9 +243,24 @@
       return Pump();
     }
     if (verb == "answers") return Expect(line.substr(8), last_answer_);
-    if (verb == "report") return SendReport(w, tail);
+    if (verb == "report") {
+      last_reports_[w.At(1)] = line;
+      return SendReport(w, tail);
+    }
+    if (verb == "keeps") {
+      for (int s = 0; s < std::stoi(w.At(1)); ++s) {
+        Advance(Seconds(1));
+        for (size_t i = 2; i < w.plain.size(); ++i) Line(last_reports_.at(w.At(i)));
+      }
+      return;
+    }
     if (verb == "gets") return Expect(line.substr(5), last_checkin_);
     if (verb == "sees") return Sees(line.substr(5));
+    if (verb == "logs") {
+      for (const std::string& said : logs_)
+        if (said.find(line.substr(5)) != std::string::npos) return;
+      throw Stop{"nothing of the kind was logged"};
+    }
     if (verb == "unseen") return Unseen(line.substr(7));
     if (verb == "forget") return seen_.clear();
     if (verb == "direct") return AnswerDirect(w, tail);
@@ -273,6 +288,7 @@
  private:
   void Option(const Words& w) {
     options_.rebind_wait = Seconds(w.Number("rebind_wait", options_.rebind_wait.ToSeconds()));
+    options_.stuck_after = Seconds(w.Number("stuck_after", options_.stuck_after.ToSeconds()));
     options_.age_limit = Seconds(w.Number("age_limit", options_.age_limit.ToSeconds()));
   }
 
@@ -310,6 +326,7 @@
         seen_.push_back(text);
         direct_[d.machine].push_back(d);
       }
+      for (const LogLine& l : out.log) logs_.push_back(l.text);
       for (const CloudOp& c : out.cloud) RunCloud(c);
       bool any = !out.cloud.empty();
       for (StateOp& op : out.state) any |= RunStateOp(op);
@@ -592,6 +609,8 @@
   std::vector<StateOp> watches_;
   std::map<std::string, std::deque<DirectOp>> direct_;
   std::vector<std::string> seen_;
+  std::vector<std::string> logs_;
+  std::map<std::string, std::string> last_reports_;
   std::set<std::string> names_;
   std::vector<MachineType> types_;
   std::vector<ListedMachine> listed_;
