--- a/src/config/night.cpp
+++ b/src/config/night.cpp
@@ -2,11 +2,30 @@
 
 #include <algorithm>
 
+#include "config/config.h"
 #include "config/yaml.h"
 
 namespace badgershore::config {
 namespace {
 
+const char* const kSmallSite =
+    R"(about: A small site to try things on; nothing arrives but what you submit
+duration_s: 86400
+settle_s: 1
+site:
+  zones: [shore, hill]
+  state_write_rps: 200
+  cloud_list_lag_s: 1
+teams:
+- {name: settlement}
+- {name: manifests}
+machine_types:
+- {name: small, cpus: 4, mem_gb: 16, price: 0.25, spot_price: 0.08, boot_s: 8, capacity: 20, spot_capacity: 20, up: 2}
+- {name: big, cpus: 32, mem_gb: 128, price: 1.5, spot_price: 0.6, boot_s: 10, capacity: 6}
+classes:
+- {name: none, run_s: 1}
+)";
+
 int64_t Milli(YamlMap* m, const char* key, double otherwise) {
   return std::llround(m->Number(key, 0, 1e6, otherwise) * 1000);
 }
@@ -74,8 +93,12 @@
 
 }  // namespace
 
-Night LoadNight(const std::string& file) {
-  YamlMap top = YamlMap::Load(file);
+Night LoadNight(const std::string& file) { return ParseNight(ReadFile(file), file); }
+
+Night SmallSite() { return ParseNight(kSmallSite, "up.yaml"); }
+
+Night ParseNight(const std::string& text, const std::string& file) {
+  YamlMap top = YamlMap::Parse(text, file);
   Night n;
   const size_t slash = file.rfind('/');
   n.name = file.substr(slash == std::string::npos ? 0 : slash + 1);
--- a/src/config/night.h
+++ b/src/config/night.h
@@ -61,5 +61,9 @@
 
 // A config::Error names file, line and what was expected.
 Night LoadNight(const std::string& file);
+// The same from its text; `file` names it in errors.
+Night ParseNight(const std::string& text, const std::string& file);
+// A small site on which nothing arrives but what its users submit.
+Night SmallSite();
 
 }  // namespace badgershore::config
--- a/src/programs/rehearse.cpp
+++ b/src/programs/rehearse.cpp
@@ -23,7 +23,19 @@
 using config::Night;
 using rehearsal::Result;
 
-std::string g_nights = "nights";
+std::string g_nights;  // the folder of kept nights
+
+// The folder that this program is in has the others too.
+std::string ProgramFolder() {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+}
+
+// In a checkout it is here; beside an installed program where `cmake --install` lays it.
+std::string NightsFolder() {
+  const std::string installed = ProgramFolder() + "/../share/badgershore/nights";
+  return !std::filesystem::exists("nights") && std::filesystem::exists(installed) ? installed
+                                                                                  : "nights";
+}
 
 // A file, or the name of a kept night.
 std::string FileOf(const std::string& night) {
@@ -102,11 +114,6 @@
 
 std::string Read(const std::string& file) { return config::ReadFile(file); }
 
-// The folder that this program is in has the others too.
-std::string ProgramFolder() {
-  return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
-}
-
 std::string TemporaryFolder() {
   std::string name = (std::filesystem::temp_directory_path() / "badgershore-XXXXXX").string();
   if (!::mkdtemp(name.data())) throw config::Error(name + ": can't be made");
@@ -174,8 +181,7 @@
   }
 }
 
-int Up(const std::string& file, const std::string& listen, const std::string& data) {
-  const Night night = config::LoadNight(file);
+int Up(const Night& night, const std::string& listen, const std::string& data) {
   const std::string dir = data.empty() ? TemporaryFolder() : data;
   int code = 0;
   {
@@ -298,6 +304,7 @@
   app.set_version_flag("--version", std::string("badgershore-rehearse ") + BADGERSHORE_VERSION);
   app.require_subcommand(1);
   std::string name, json, evidence, seeds = "1..50", log_format = "text";
+  g_nights = NightsFolder();
   std::string time = "simulated", listen = "127.0.0.1:0", data;
   uint64_t seed = 1;
   int jobs = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
@@ -317,7 +324,7 @@
       ->check(CLI::IsMember({"simulated", "real"}))
       ->capture_default_str();
   CLI::App* up = verb("up", "Start a whole site on loopback, until Ctrl-C");
-  up->add_option("night", name, "The site, as a night; else the kept one named up");
+  up->add_option("night", name, "The site, as a night; else a small one that is built in");
   up->add_option("--listen", listen, "The users' address; port 0 takes a free one")
       ->capture_default_str();
   up->add_option("--data", data, "Keep settings, state and logs there; else they go at the end");
@@ -344,7 +351,9 @@
       }
       return 0;
     }
-    if (*up) return Up(FileOf(name.empty() ? "up" : name), listen, data);
+    if (*up) {
+      return Up(name.empty() ? config::SmallSite() : config::LoadNight(FileOf(name)), listen, data);
+    }
     const std::string file = FileOf(name);
     if (*run) return RunNight(file, seed, time == "real", json, evidence);
     if (*explore) return Explore(file, seeds, jobs);
--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -1,6 +1,8 @@
 // The checker of the Rules, and that a night is the same each time.
 #include <gtest/gtest.h>
 
+#include <filesystem>
+
 #include "rehearsal/world.h"
 #include "store/disk/archive.h"
 
@@ -170,7 +172,17 @@
 }
 
 // Every kept night, with a few seeds here (all fifty: docs/results.md): the same end each time.
-class KeptNight : public testing::TestWithParam<const char*> {};
+class KeptNight : public testing::TestWithParam<std::string> {
+ public:
+  static const std::vector<std::string>& Names() {
+    static const std::vector<std::string> names = {
+        "all-at-once",   "all-killed-thrice", "cloud-down-at-dusk",   "disk-full",
+        "grants-vanish", "leader-unheard",    "leader-without-state", "quiet",
+        "resets",        "spot-wave",         "state-down",           "state-late",
+        "state-mute",    "state-restarts",    "zone-cut-off"};
+    return names;
+  }
+};
 
 TEST_P(KeptNight, BreaksNothingAndEndsTheSameWithEverySeed) {
   const config::Night night =
@@ -186,18 +198,27 @@
     EXPECT_EQ(final_states, ends) << "seed " << seed;
   }
 }
-INSTANTIATE_TEST_SUITE_P(Nights, KeptNight,
-                         testing::Values("all-at-once", "all-killed-thrice", "cloud-down-at-dusk",
-                                         "disk-full", "grants-vanish", "leader-unheard",
-                                         "leader-without-state", "quiet", "resets", "spot-wave",
-                                         "state-down", "state-late", "state-mute", "state-restarts",
-                                         "zone-cut-off"),
+INSTANTIATE_TEST_SUITE_P(Nights, KeptNight, testing::ValuesIn(KeptNight::Names()),
                          [](const auto& info) {
                            std::string name = info.param;
                            std::replace(name.begin(), name.end(), '-', '_');
                            return name;
                          });
 
+// nights/ holds only nights that `run` plays, each among those above; the site of `up` is built in.
+// Guards against: a site kept there that no run could finish.
+TEST(Night, EveryKeptOneIsPlayedAboveAndTheSmallSiteIsGood) {
+  const auto& played = KeptNight::Names();
+  size_t kept = 0;
+  for (const auto& f : std::filesystem::directory_iterator(BADGERSHORE_NIGHTS)) {
+    if (f.path().extension() != ".yaml") continue;
+    ++kept;
+    EXPECT_NE(std::find(played.begin(), played.end(), f.path().stem()), played.end()) << f.path();
+  }
+  EXPECT_EQ(kept, played.size());
+  EXPECT_FALSE(config::SmallSite().types.empty());
+}
+
 // Guards against: chance from anywhere but the seed (an address, a clock, the order of a hash).
 // The kept hash holds for every build type; a change of the history by design changes it.
 TEST(Night, TheSameSeedIsTheSameHistoryToTheByte) {
