A dispatch turn fills a machine's free places; two deviations of cheap room kept

Change: the machine that has received least of the bucket gets as many tasks as it has places free for, then the next. The machines' work lies no further apart than one of them holds at once, a constant multiple as the paper's class of guardrails policies asks. Cheap room kept for what can't wait for a boot: two deviations above the mean instead of one.

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -17,7 +17,8 @@
   return std::max(spec.estimate.ToSeconds(), 0.1) / places;
 }
 
-LeastReceived::LeastReceived(const Job& job, const std::vector<Able>& able) : able_(able) {
+LeastReceived::LeastReceived(const Job& job, const std::vector<Able>& able)
+    : job_(job), able_(able) {
   const auto bucket = static_cast<size_t>(job.bucket);
   turns_.reserve(able.size());
   for (size_t i = 0; i < able.size(); ++i) {
@@ -30,12 +31,21 @@
 
 const Able* LeastReceived::Next() {
   if (turns_.empty()) return nullptr;
-  std::pop_heap(turns_.begin(), turns_.end(), std::greater<>());
+  if (turn_left_ == 0) {
+    if (in_turn_) std::push_heap(turns_.begin(), turns_.end(), std::greater<>());
+    in_turn_ = true;
+    std::pop_heap(turns_.begin(), turns_.end(), std::greater<>());
+    const Able& able = able_[turns_.back().index];
+    Resources taken = able.machine->Used();
+    for (const auto& [key, entry] : able.machine->queue) {
+      taken = taken + entry.job->spec.need.Times(static_cast<int64_t>(entry.tasks.size()));
+    }
+    turn_left_ = std::max<int64_t>(1, (able.machine->type->size - taken).Holds(job_.spec.need));
+  }
+  --turn_left_;
   Turn& turn = turns_.back();
-  const Able* able = &able_[turn.index];
   turn.received += turn.each;
-  std::push_heap(turns_.begin(), turns_.end(), std::greater<>());
-  return able;
+  return &able_[turn.index];
 }
 
 void LevelCounters(Machine* machine, const std::vector<Machine*>& peers) {
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -26,8 +26,13 @@
   Resources open;
 };
 
-// Gives a job's tasks out one after another, each to the machine that would have received least
-// work of the job's bucket, this task included. Among equals, to one that has the job's image.
+// Gives a job's tasks out, in turn to the machine that would have received least work of the job's
+// bucket, the next task included. Among equals, to one that has the job's image. A turn is as many
+// tasks as the machine has places free for, at least one: so the machines' work never lies further
+// apart than one of them holds at once, which is a guardrails policy still (the paper: "the
+// difference in work dispatched to any pair of servers is never more than a constant multiple of
+// the minimum possible"), and the job is on few machines, any of which may be lost and each of
+// which has to fetch its image.
 class LeastReceived {
  public:
   LeastReceived(const Job& job, const std::vector<Able>& able);
@@ -44,8 +49,11 @@
       return std::tie(received, fetches, index) > std::tie(o.received, o.fetches, o.index);
     }
   };
+  const Job& job_;
   const std::vector<Able>& able_;
   std::vector<Turn> turns_;  // a heap: no look at every machine for every task
+  int64_t turn_left_ = 0;    // tasks that the machine at the back still gets, which is off the heap
+  bool in_turn_ = false;
 };
 
 // A new machine begins level with its peers, or it would be flooded.
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -182,7 +182,7 @@
   Micros drain_target = Seconds(30);
   double drain_share = 0.45;
   double arrival_doubt = 6;  // so few jobs of late foretell nothing
-  double ready_spread = 1;   // room kept for what can't wait for a boot: deviations above the mean
+  double ready_spread = 2;   // room kept for what can't wait for a boot: deviations above the mean
   double ready_doubt = 2;    // so few such jobs of late foretell nothing
   double boot_patience = 1.8;
   Micros refusal_memory = Seconds(20);
