A new leader counts what came before its reign when it keeps room ready

Cause: after a takeover the measure of work that can't wait for a boot began at nothing, so the cheap room was given back and the first jobs of the term missed their deadlines: restart and zone 0.31 and 0.30 in full where calm had 0.69. Change: jobs that are loaded count by when they arrived, and while less than the window has been seen the mean is over the time that was, one minute at least. A unit test of a takeover.

--- a/src/core/autoscale.cpp
+++ b/src/core/autoscale.cpp
@@ -7,6 +7,7 @@
 
 constexpr Micros kStreamWindow = Seconds(60);
 constexpr Micros kCrowdWindow = Seconds(180);
+constexpr Micros kLeastSeen = Seconds(60);
 constexpr Micros kArrivalsKept = Seconds(120);
 constexpr Micros kGangMemory = Seconds(600);
 constexpr int kMostRented = 150;  // machines in one decision
@@ -91,9 +92,11 @@
               now);
 }
 
-void Autoscaler::Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros now) {
+void Autoscaler::Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros arrived,
+                         Micros now) {
   if (spec.shape != Shape::kArray || slack > boot.Scaled(1.5)) return;
-  urgent_.Add(static_cast<double>(spec.need.cpu) * spec.tasks, spec.estimate.ToSeconds(), now);
+  urgent_.Add(static_cast<double>(spec.need.cpu) * spec.tasks, spec.estimate.ToSeconds(), arrived,
+              now);
 }
 
 void Autoscaler::Crowd::Fade(Micros now) {
@@ -104,17 +107,27 @@
   at = now;
 }
 
-void Autoscaler::Crowd::Add(double cpus, double seconds, Micros now) {
+void Autoscaler::Crowd::Add(double cpus, double seconds, Micros arrived, Micros now) {
   Fade(now);
-  work += cpus * seconds;
-  squares += cpus * seconds * cpus * seconds;
-  bursts += cpus * cpus * seconds;
+  since = std::min(since, arrived);
+  const double share =
+      std::exp(-std::max(0.0, (now - arrived).ToSeconds()) / kCrowdWindow.ToSeconds());
+  work += cpus * seconds * share;
+  squares += cpus * seconds * cpus * seconds * share * share;
+  bursts += cpus * cpus * seconds * share;
+}
+
+// While less than the window has been seen, what came speaks of the time that it came in.
+double Autoscaler::Crowd::Window() const {
+  const double seen = since < kNever ? std::max(kLeastSeen, at - since).ToSeconds() : 0;
+  const double window = kCrowdWindow.ToSeconds();
+  return window * (1 - std::exp(-std::max(seen, 1.0) / window));
 }
 
 // Jobs that come at random and all find room are under way in a number whose mean is the work that
 // comes in a second and whose variance is the sum of the squares of their sizes (M/G/infinity).
-double Autoscaler::Crowd::Mean() const { return work / kCrowdWindow.ToSeconds(); }
-double Autoscaler::Crowd::Spread() const { return std::sqrt(bursts / kCrowdWindow.ToSeconds()); }
+double Autoscaler::Crowd::Mean() const { return work / Window(); }
+double Autoscaler::Crowd::Spread() const { return std::sqrt(bursts / Window()); }
 double Autoscaler::Crowd::Trust(double doubt) const {
   return work > 0 ? std::max(0.0, 1 - doubt * squares / (work * work)) : 0;
 }
--- a/src/core/autoscale.h
+++ b/src/core/autoscale.h
@@ -52,7 +52,8 @@
   // New work, for the measure of what arrives.
   // `boot`: how long a new machine takes; work that can wait for one counts for nothing here.
   void ArrayArrived(const JobSpec& spec, Micros arrived, Micros now);
-  void Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros now);
+  // A new leader hears of what came before its reign by what is not over yet.
+  void Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros arrived, Micros now);
   // How long the job may take from its arrival, by its deadline or its lane's objective.
   Micros Allowance(const JobSpec& spec, const std::vector<Objective>& objectives,
                    double share) const;
@@ -92,8 +93,10 @@
     double squares = 0;  // of their squares
     double bursts = 0;   // of the squares of their CPUs, times the seconds each runs
     Micros at;
+    Micros since = kNever;  // the first that is counted arrived then
     void Fade(Micros now);
-    void Add(double cpus, double seconds, Micros now);
+    void Add(double cpus, double seconds, Micros arrived, Micros now);
+    double Window() const;  // seconds
     double Mean() const;
     double Spread() const;  // the standard deviation
     double Trust(double doubt) const;
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -160,11 +160,11 @@
     scaler_.NoteGang(spec, now);
     scaler_.GangArrived(spec, job->arrived);
   }
-  if (jobs_loaded_ && !context_.types->empty()) {
+  if (!context_.types->empty()) {
     Micros boot;
     for (const auto& [name, type] : *context_.types) boot = std::max(boot, type.boot);
     scaler_.Arrived(spec, scaler_.Allowance(spec, settings().objectives, 1.0) - spec.estimate, boot,
-                    now);
+                    job->arrived, now);
   }
   jobs_[spec.id] = std::move(job);
   asker()->Debug("job " + spec.id + " " + spec.lane + " tasks " + std::to_string(spec.tasks) +
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "core/autoscale.h"
 #include "core/dispatch.h"
 #include "core/jobs.h"
 
@@ -125,5 +126,40 @@
   EXPECT_EQ(chunk, 2);
 }
 
+// Guards against: a takeover that forgets what has been arriving, so that the room kept for work
+// which can't wait for a boot is given back just when the leader has changed.
+TEST(Renting, KeepsRoomForWhatCameBeforeTheReign) {
+  const Options options;
+  const std::vector<std::string> zones = {"a"};
+  const std::vector<Objective> objectives;
+  std::map<std::string, MachineType> types;
+  types["box"] = {"box", {4000, 0, 16000}, 10, 1, 1, 0.3, Seconds(30), {}};
+  Job waiting;
+  waiting.spec.need = {1000, 0, 1000};
+  waiting.spec.estimate = Seconds(30);
+  waiting.spec.due = Seconds(57);
+  waiting.spec.spot_ok = true;
+  waiting.arrived = Seconds(100);
+  const auto rented = [&](int earlier) {
+    Autoscaler scaler(options);
+    JobSpec spec = waiting.spec;
+    spec.tasks = 40;
+    for (int i = 0; i < earlier; ++i) {
+      scaler.Arrived(spec, Seconds(27), Seconds(30), Seconds(4.0 * i), Seconds(100));
+    }
+    ScaleView view;
+    view.now = Seconds(100);
+    view.types = &types;
+    view.zones = &zones;
+    view.objectives = &objectives;
+    view.jobs = {&waiting};
+    int count = 0;
+    for (const RentPlan& r : scaler.Decide(view).rent) count += r.offer.spot ? r.count : 0;
+    return count;
+  };
+  EXPECT_LE(rented(0), 1);
+  EXPECT_GE(rented(25), 40 * 25 * 30 / 100 / 4);  // at least the mean under way, four to a box
+}
+
 }  // namespace
 }  // namespace badgershore
