--- a/src/rehearsal/users.cpp
+++ b/src/rehearsal/users.cpp
@@ -123,10 +123,12 @@
 
 void World::Poll(const std::string& job, bool again) {
   wire::Call call{"GET", "/work/" + job, "", Seconds(2)};
+  const int64_t asked_us = now_.count;
   Send("users", PickNode(), std::move(call), [=, this](int status, const std::string& body) {
     UserJob& j = jobs_.at(job);
     Event e;
     e.job = job;
+    e.asked_us = asked_us;
     rapidjson::Document doc;
     if (status == 200 && wire::ParseObject(body, &doc)) {
       e.kind = Event::Kind::kTold;
