A leader past its lease gives nothing back and rents nothing; it lets machines speak

Change: returns, rentals and ends of machines' leases need the lease; paced calls and answers with starts that outlive it are not sent; after standing still machines speak first.

--- a/src/adapters/cloud_client.cpp
+++ b/src/adapters/cloud_client.cpp
@@ -18,6 +18,8 @@
   const Micros mine = std::max(now, next_);
   next_ = mine + Seconds(1 / rate_);
   if (mine > now) co_await loop_->Sleep(mine - now);
+  // The process may have stood still between the decision and here.
+  if (io::Loop::Now() >= op.good_until) co_return CloudReply{Outcome::kBusy, {}, {}, {}, false};
   wire::Call call = wire::FormatCloudCall(op);
   http::ClientAnswer answer = co_await client_.Request(
       std::move(call.method), std::move(call.target), std::move(call.body), call.timeout);
--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -234,6 +234,7 @@
   std::optional<CheckinAnswer> answer = co_await slot.Wait(now + Seconds(3));
   checkins_.erase(token);
   if (!answer) co_return Plain(503, "no answer in time");
+  if (io::Loop::Now() >= answer->good_until) co_return Plain(503, "the lease has ended");
   co_return http::ServerAnswer{answer->status, wire::FormatCheckinAnswer(*answer), 0};
 }
 
--- a/src/config/night.cpp
+++ b/src/config/night.cpp
@@ -71,6 +71,10 @@
   c.cell = m.Text("cell", "");
   c.start_within = m.Span("start_within_s", 0, 1e6, 0);
   c.done_within = m.Span("done_within_s", 0, 1e6, 0);
+  c.from = m.Span("from_s", 0, 1e6, 0);
+  c.until = m.Span("until_s", 0, 1e6, 0);
+  c.mistake = m.Number("mistake", 0, 1, 0);
+  c.withdrawn_after = m.Span("withdrawn_after_s", 0, 1e6, 0);
   c.at_start = static_cast<int>(m.Whole("at_start", 0, 10000, 0));
   m.NoOthers();
   return c;
@@ -79,15 +83,17 @@
 Trouble ReadTrouble(YamlMap m, Micros end) {
   Trouble t;
   t.kind = static_cast<Trouble::Kind>(m.OneOf(
-      "kind", {"cloud_down", "cloud_empty", "grants_vanish", "boots_never", "spot_wave",
-               "state_down", "state_mute", "state_late", "state_restart", "disk_full", "kill",
-               "cut", "machines_fail", "machines_die", "freeze", "restore", "limit", "retire"}));
+      "kind",
+      {"cloud_down", "cloud_empty", "grants_vanish", "boots_never", "spot_wave", "state_down",
+       "state_mute", "state_late", "state_restart", "disk_full", "kill", "cut", "machines_fail",
+       "machines_die", "freeze", "restore", "limit", "retire", "state_refuses"}));
   t.at = m.Span("at_s", 0, end.ToSeconds());
   t.span = m.Span("for_s", 0, end.ToSeconds(), 0);
   t.share = m.Number("share", 0, 1, 1);
   t.cell = m.Text("cell", "");
   if (t.kind == Trouble::Kind::kKill || t.kind == Trouble::Kind::kCut ||
-      t.kind == Trouble::Kind::kFreeze || t.kind == Trouble::Kind::kRetire) {
+      t.kind == Trouble::Kind::kFreeze || t.kind == Trouble::Kind::kRetire ||
+      t.kind == Trouble::Kind::kStateRefuses) {
     t.who = m.Text("who");
   }
   if (t.kind == Trouble::Kind::kLimit) {
--- a/src/config/night.h
+++ b/src/config/night.h
@@ -19,16 +19,19 @@
   int least_tasks = 1, most_tasks = 1, images = 1, at_start = 0;
   double per_minute = 0;
   Micros run;
+  Micros from, until;  // those that do not come at the start come in between; until 0: to the end
   // The night fails where a job of it starts, or is done, later than this after its submission.
   Micros start_within, done_within;  // 0: no bound
+  double mistake = 0;                // so much of its tasks fails on every machine
+  Micros withdrawn_after;            // since its submission, by its user; 0: not
 };
 struct Withdrawal {
   std::string job;
   Micros at;
 };
 struct Trouble {
-  // A fault, from `at` for `span`; `who` and `whom` name hosts: leader, node-0 .. node-2, state,
-  // cloud, users, machines or zone-NAME, and in a night of several cells cell-NAME.
+  // A fault, from `at` for `span`; `who` and `whom` name hosts: all, leader, node-0 .. node-2,
+  // state, cloud, users, machines or zone-NAME, and in a night of several cells cell-NAME.
   enum class Kind {
     kCloudDown,
     kCloudEmpty,
@@ -47,7 +50,8 @@
     kFreeze,
     kRestore,
     kLimit,
-    kRetire
+    kRetire,
+    kStateRefuses
   };
   Kind kind = Kind::kCloudDown;
   Micros at, span;
--- a/src/core/desk/controller.cpp
+++ b/src/core/desk/controller.cpp
@@ -256,6 +256,7 @@
     if (verdict == Leader::Verdict::kAnswer) {
       answer.status = 200;
       answer.baton = election_->term();
+      answer.good_until = leader_->GoodUntil(answer.orders);
       asker_.out.checkins.push_back(std::move(answer));
       return;
     }
--- a/src/core/desk/election.h
+++ b/src/core/desk/election.h
@@ -35,6 +35,8 @@
   bool leads() const { return role_ == Role::kLeader; }
   // The lease surely holds at `now`, counted from when its last renewal was sent.
   bool MayStart(Micros now) const { return leads() && !retiring_ && now < lease_until_; }
+  // What it decides now may leave this process until then.
+  Micros lease_until() const { return lease_until_; }
   // When the state service last confirmed the lease, counted from when that was asked.
   Micros confirmed_at() const { return confirmed_at_; }
   uint64_t term() const { return term_; }
--- a/src/core/model/effects.h
+++ b/src/core/model/effects.h
@@ -63,6 +63,7 @@
   bool spot = false;
   int count = 0;
   std::vector<std::string> machines;
+  Micros good_until = kNever;  // not sent any more after that: answered kBusy
 };
 struct ListedMachine {
   std::string id, endpoint, type, zone;
@@ -115,6 +116,7 @@
   std::string leader;
   uint64_t baton = 0;
   std::vector<Order> orders;
+  Micros good_until = kNever;  // its starts may not leave after that: the report gets 503
 };
 struct DirectOp {
   RequestId id = 0;
--- a/src/core/reign/checkins.cpp
+++ b/src/core/reign/checkins.cpp
@@ -18,6 +18,13 @@
          std::max(Seconds(0), settings().cancel_within - settings().worker_lease - kHoldMargin);
 }
 
+// A process may stand still between a decision and its sending.
+Micros Checkins::GoodUntil(const std::vector<Order>& orders) const {
+  const bool starts = std::any_of(orders.begin(), orders.end(),
+                                  [](const Order& o) { return o.verb == Order::Verb::kStart; });
+  return starts ? election()->lease_until() : kNever;
+}
+
 Checkins::Verdict Checkins::Take(Micros now, RequestId token, const Report& report,
                                  std::vector<Order>* orders) {
   Machine* m =
@@ -71,6 +78,7 @@
     answer.baton = election()->term();
     // Only the newest one is certain to be awaited still.
     if (i + 1 == m->held_checkins.size()) OrdersFor(now, m, &answer.orders);
+    answer.good_until = GoodUntil(answer.orders);
     asker()->out.checkins.push_back(std::move(answer));
   }
   m->held_checkins.clear();
--- a/src/core/reign/checkins.h
+++ b/src/core/reign/checkins.h
@@ -20,6 +20,8 @@
   void AnswerReady(Micros now);
   // How long reports may be answered without the state service.
   Micros AnswerUntil() const;
+  // An answer with these orders may leave this process until then.
+  Micros GoodUntil(const std::vector<Order>& orders) const;
 
  private:
   bool HoldsOut(Micros now, const Machine& m) const;
--- a/src/core/reign/leader.cpp
+++ b/src/core/reign/leader.cpp
@@ -3,6 +3,13 @@
 #include <cassert>
 
 namespace badgershore {
+namespace {
+
+// Ticks come every tenth of a second; after such a gap this process has stood still, or its
+// machine has.
+constexpr Micros kStoodStill = Seconds(1);
+
+}  // namespace
 
 Leader::Leader(Reign reign, Micros now, int64_t time_of_day_ms)
     : reign_(std::move(reign)),
@@ -18,7 +25,7 @@
       checkins_(&reign_),
       sharing_(&reign_),
       supervisor_(&reign_) {
-  reign_.began = now;
+  reign_.began = ticked_at_ = now;
   reign_.began_ms = time_of_day_ms;
   reign_.scaler = &scaler_;
   reign_.book = &book_;
@@ -86,7 +93,9 @@
 
 void Leader::Tick(Micros now) {
   jobs_mirror_->Tick(now);
+  const Micros gap = now - std::exchange(ticked_at_, now);
   if (!ready_) return;
+  if (gap > kStoodStill) roster_.Awoke(now);
   roster_.Watch(now);
   if (!reign_.election->leads()) return;
   rights_.Tick(now);
--- a/src/core/reign/leader.h
+++ b/src/core/reign/leader.h
@@ -35,6 +35,7 @@
   Verdict Checkin(Micros now, RequestId token, const Report& report, std::vector<Order>* orders);
   JobDigest Digest(const std::string& job) const { return book_.Digest(job); }
   std::vector<JobDigest> Digests() const { return book_.Digests(); }
+  Micros GoodUntil(const std::vector<Order>& orders) const { return checkins_.GoodUntil(orders); }
   void OnCell(Micros now, const limits::CellNote& note) { rights_.OnNote(now, note); }
   const Rights& rights() const { return rights_; }
   bool recording() const { return recorder_.writing(); }
@@ -51,6 +52,7 @@
   void Loaded(Micros now);
 
   Reign reign_;
+  Micros ticked_at_{-1};
   bool ready_ = false;
   bool jobs_loaded_ = false;
   int loading_ = 2;
--- a/src/core/reign/renter.cpp
+++ b/src/core/reign/renter.cpp
@@ -22,6 +22,8 @@
     list_seen_.clear();
     ListMachines(now, "");
   }
+  // What is rented or given back past the lease is another leader's.
+  if (!election()->MayStart(now)) return;
   for (auto& [name, rent] : pending_) {
     if (!rent.asking && now >= rent.retry_at) SendRent(now, name);
   }
@@ -134,6 +136,7 @@
   op.zone = rent.offer.zone;
   op.spot = rent.offer.spot;
   op.count = rent.count;
+  op.good_until = election()->lease_until();
   asker()->Cloud(op, Guarded([this, name](Micros t, CloudReply& r) {
                    auto it = pending_.find(name);
                    if (it == pending_.end()) return;
@@ -263,6 +266,7 @@
   returning_ = true;
   CloudOp op;
   op.kind = CloudOp::Kind::kReturn;
+  op.good_until = election()->lease_until();
   const size_t n = std::min<size_t>(return_queue_.size(), 100);
   op.machines.assign(return_queue_.begin(), return_queue_.begin() + static_cast<long>(n));
   return_queue_.erase(return_queue_.begin(), return_queue_.begin() + static_cast<long>(n));
--- a/src/core/reign/roster.cpp
+++ b/src/core/reign/roster.cpp
@@ -116,6 +116,9 @@
 
 void Roster::GiveBack(Micros now, Machine* m, const std::string& why) {
   if (m->stage == MachineStage::kReturning) return;
+  // Past the lease it may be another leader's, with its work on it. What speaks against it is seen
+  // again once the lease is confirmed.
+  if (!election()->MayStart(now)) return;
   asker()->Info("returning " + m->id + " (" + m->type_name + (m->spot ? ", spot" : "") +
                 "): " + why + ", held " +
                 std::to_string(static_cast<int>((now - m->rented_at).ToSeconds())) + " s");
@@ -336,7 +339,7 @@
 }
 
 bool Roster::Deaf(Micros now) const {
-  if (up_ == 0 || last_heard_.count < 0) return false;
+  if (up_ == 0 || last_heard_.count < 0 || now < patient_until_) return false;
   constexpr int kSurely = 8;  // reports that should have come in meanwhile
   return now - last_heard_ >
          std::max(Seconds(4), settings().report_every.Scaled(1.0 * kSurely / up_));
@@ -361,7 +364,18 @@
   return probes;
 }
 
+// Workers that got no answer for 4 s have gone to other controllers and are sent back from there.
+void Roster::Awoke(Micros now) {
+  patient_until_ = now + settings().report_every.Scaled(1.25) + Seconds(6);
+  for (auto& [id, m] : machines_) m->missing_since = {-1};
+}
+
 void Roster::Watch(Micros now) {
+  // A leader that slept through its lease wakes up with all machines silent and all their leases
+  // over by its own clock. Another leads by then: it gives nothing back and takes nothing for
+  // ended before the state service has confirmed its lease anew, and lets them speak first.
+  const bool holds = election()->MayStart(now);
+  const bool may_give_up = now >= patient_until_;
   int heard = 0, up = 0;
   for (auto& [id, m] : machines_) {
     if (!m->type) {
@@ -383,7 +397,7 @@
     Machine* m = ptr.get();
     if (!m->held_checkins.empty() && now - m->held_since > Millis(1500))
       checkins().AnswerHeld(now, m);
-    if (m->alive_until.count > 0 && now > m->alive_until &&
+    if (holds && m->alive_until.count > 0 && now > m->alive_until &&
         (!m->occupants.empty() || !m->resolved)) {
       asker()->Info("the lease of " + id + " has run out");
       DropAll(now, m);
@@ -392,7 +406,7 @@
     if (m->stage == MachineStage::kBooting) {
       const Micros patience =
           (m->type ? m->type->boot : Seconds(60)).Scaled(options().boot_patience) + Seconds(5);
-      if (now - m->rented_at > patience) GiveBack(now, m, "it does not come up");
+      if (may_give_up && now - m->rented_at > patience) GiveBack(now, m, "it does not come up");
       continue;
     }
     if (m->stage != MachineStage::kUp) continue;
@@ -408,14 +422,14 @@
     const bool few = unresolved_.size() * 10 <= static_cast<size_t>(up);
     const bool hardly_any = unresolved_.size() * 50 <= static_cast<size_t>(up);
     const bool asked = m->asked_at.count >= 0 && now - m->asked_at > options().resolve_soon;
-    if (!m->resolved && !was_heard &&
+    if (may_give_up && !m->resolved && !was_heard &&
         ((few && now - began() > options().resolve_wait) || (hardly_any && asked))) {
       GiveBack(now, m, "does not answer the new term");
       continue;
     }
     // Where the fault is ours a machine is given back only when its lease has long run out.
-    if (silent >
-        options().silent_return + (ours ? settings().worker_lease : settings().report_every)) {
+    if (may_give_up && silent > options().silent_return +
+                                    (ours ? settings().worker_lease : settings().report_every)) {
       GiveBack(now, m, was_heard ? "silent" : "never heard in this term");
       continue;
     }
--- a/src/core/reign/roster.h
+++ b/src/core/reign/roster.h
@@ -31,6 +31,8 @@
   void GiveBack(Micros now, Machine* m, const std::string& why);
   void Remove(Micros now, const std::string& id);  // the cloud's word: it is gone
   void Watch(Micros now);
+  // The leader stood still until now: what it did not hear meanwhile says nothing of the machines.
+  void Awoke(Micros now);
 
   bool Ready(const Machine& m, Micros now) const;  // may be given work
   // The job may still run on a machine that has not answered this term.
@@ -54,6 +56,7 @@
   std::vector<Machine*> unresolved_;
   int up_ = 0;             // machines that are up, as of the last tick
   Micros last_heard_{-1};  // of any machine in this term
+  Micros patient_until_;   // no machine is given up before, nor the place
 };
 
 }  // namespace badgershore
--- a/src/rehearsal/users.cpp
+++ b/src/rehearsal/users.cpp
@@ -33,7 +33,9 @@
   for (size_t c = 0; c < night_.classes.size(); ++c) {
     const NightClass& k = night_.classes[c];
     if (k.cell.empty() ? cell_ != 0 : k.cell != name_) continue;
-    const int arriving = static_cast<int>(k.per_minute * night_.duration.ToSeconds() / 60);
+    const Micros until = k.until.count > 0 ? k.until : night_.duration;
+    const int arriving =
+        static_cast<int>(k.per_minute * std::max(0.0, (until - k.from).ToSeconds()) / 60);
     std::mt19937_64 size(c + 1);
     for (int i = 0; i < k.at_start + arriving; ++i) {
       UserJob job;
@@ -53,10 +55,12 @@
                    spec.spread,   spec.spot_ok,  0};
       const double gap = k.per_minute > 0 ? 60 / k.per_minute : 0;
       const Micros at =
-          i < k.at_start ? Between(0, 2) : Seconds((i - k.at_start) * gap) + Between(0, gap);
+          k.from +
+          (i < k.at_start ? Between(0, 2) : Seconds((i - k.at_start) * gap) + Between(0, gap));
       jobs_[id] = job;
-      Later(now_ + at, [this, spec, run = job.run] {
-        work_.AddJob(spec, run);
+      Later(now_ + at, [this, spec, run = job.run, mistake = k.mistake, after = k.withdrawn_after] {
+        work_.AddJob(spec, run, mistake);
+        if (after.count > 0) Later(now_ + after, [this, id = spec.id] { Withdraw(id); });
         UserJob& j = jobs_.at(spec.id);
         j.submitted = true;
         j.first = now_;
--- a/src/rehearsal/work.cpp
+++ b/src/rehearsal/work.cpp
@@ -19,7 +19,8 @@
   const auto exit = [this, machine, task](ExitCause cause) {
     return [this, machine, task, cause] { hooks_.exit(machine, task, cause, false); };
   };
-  if (sick) return hooks_.later(now + Millis(300), exit(ExitCause::kError));
+  const bool fails = (task.ref.task * 7919 + 13) % 1000 < job.mistake * 1000;
+  if (sick || fails) return hooks_.later(now + Millis(300), exit(ExitCause::kError));
   if (job.done.contains(task.ref.task)) return hooks_.later(now, exit(ExitCause::kDone));
   const double pace = 0.9 + 0.2 * Chance();
   if (job.spec.shape != Shape::kGang) {
--- a/src/rehearsal/work.h
+++ b/src/rehearsal/work.h
@@ -30,7 +30,10 @@
   Work(const Night& night, uint64_t seed, Hooks hooks)
       : night_(night), random_(seed), hooks_(std::move(hooks)) {}
 
-  void AddJob(const JobSpec& spec, Micros run) { jobs_[spec.id] = Job{spec, run, {}, {}, {}, {}}; }
+  // `mistake`: so much of its tasks fails wherever it is started.
+  void AddJob(const JobSpec& spec, Micros run, double mistake) {
+    jobs_[spec.id] = Job{spec, run, mistake, {}, {}, {}, {}};
+  }
   const JobSpec* Find(const std::string& job) const {
     auto it = jobs_.find(job);
     return it == jobs_.end() ? nullptr : &it->second.spec;
@@ -61,6 +64,7 @@
   struct Job {
     JobSpec spec;
     Micros run;
+    double mistake = 0;
     std::set<int> done;
     std::map<int, Micros> saved;  // an array's task -> progress; a gang's under 0
     std::map<TaskKey, Running> running;
--- a/src/rehearsal/world.cpp
+++ b/src/rehearsal/world.cpp
@@ -102,6 +102,7 @@
 // ---- Network ----
 
 bool World::Matches(const std::string& who, const std::string& host) const {
+  if (who == "all") return true;
   if (who == "machines") return IsMachine(host);
   if (who == "nodes") return IsNode(host);
   if (who.starts_with("zone-")) {
@@ -245,6 +246,19 @@
   Later(now_ + kTick, [this, index, life] { TickNode(index, life); });
 }
 
+// A process that stands still finds all that has come meanwhile when it goes on.
+void World::WhenAwake(size_t index, std::function<void(Controller*)> then) {
+  const Node& n = nodes_[index];
+  if (!n.core) return;
+  if (n.frozen_until > now_) {
+    return Later(n.frozen_until, [this, index, life = n.life, then = std::move(then)] {
+      if (nodes_[index].life == life) WhenAwake(index, then);
+    });
+  }
+  then(n.core.get());
+  PumpNode(index);
+}
+
 void World::NodeState(size_t index, StateOp op) {
   const RequestId id = op.id;
   wire::Call call = wire::FormatStateCall(op);
@@ -284,18 +298,14 @@
     for (size_t k = 0; k < nodes_.size(); ++k) {
       if (k == index) continue;
       Deliver(name, NodeName(k), false, [this, k, note] {
-        if (!nodes_[k].core || nodes_[k].frozen_until > now_) return;
-        nodes_[k].core->OnPeer(now_, note);
-        PumpNode(k);
+        WhenAwake(k, [this, note](Controller* core) { core->OnPeer(now_, note); });
       });
     }
   }
   for (const membership::Message& m : out.members) {
     const size_t k = NodeIndex(m.to);
     Deliver(name, m.to, false, [this, k, m] {
-      if (!nodes_[k].core || nodes_[k].frozen_until > now_) return;
-      nodes_[k].core->OnMember(now_, m);
-      PumpNode(k);
+      WhenAwake(k, [this, m](Controller* core) { core->OnMember(now_, m); });
     });
   }
   for (const CellSend& send : out.cells) TellCell(index, send);
@@ -405,10 +415,7 @@
     for (const std::string& to : send.to) {
       const size_t k = NodeIndex(to);
       Later(at, [other, k, note = send.note] {
-        Node& n = other->nodes_[k];
-        if (!n.core || n.frozen_until > other->now_) return;
-        n.core->OnCell(other->now_, note);
-        other->PumpNode(k);
+        other->WhenAwake(k, [other, note](Controller* core) { core->OnCell(other->now_, note); });
       });
     }
   }
@@ -421,6 +428,7 @@
   wire::StoreCall parsed = wire::ParseStoreCall(call.method, call.target, call.body);
   if (parsed.status != 0) return Respond(id, parsed.status, "{}");
   const bool watch = std::holds_alternative<store::WatchRequest>(parsed.request);
+  if (!watch && RefusedByState(id)) return Respond(id, 503, R"({"error":"not for you"})");
   if (state_down_ && !watch) return Respond(id, 503, R"({"error":"outage"})");
   const bool commit = std::holds_alternative<store::CommitRequest>(parsed.request);
   if (commit && Chance() < late_share_) {  // applied long after its caller has given up
@@ -432,6 +440,12 @@
   AskState(id, parsed.request);
 }
 
+bool World::RefusedByState(uint64_t id) const {
+  auto it = pending_.find(id);
+  return it != pending_.end() && IsNode(it->second.from) &&
+         nodes_[NodeIndex(it->second.from)].refused_until > now_;
+}
+
 void World::AskState(uint64_t id, const store::Request& request) {
   const store::Token token = ++next_state_token_;
   state_calls_[token] = {id, request};
@@ -586,7 +600,7 @@
       case Kind::kDescribe:
         if (outside_ && !work_.Find(c.text)) {  // not one of the night's: someone else's job
           outside_->Describe(c.text, [this, alive, job = c.text](std::optional<JobSpec> spec) {
-            if (spec && !work_.Find(job)) work_.AddJob(*spec, spec->estimate);
+            if (spec && !work_.Find(job)) work_.AddJob(*spec, spec->estimate, 0);
             alive([this, job, spec](agent::Agent* agent) {
               agent->OnDescription(now_, job, spec);
             })();
@@ -719,16 +733,19 @@
       for (size_t i = 0; i < nodes_.size(); ++i) {
         const bool leads = Leader() == static_cast<int>(i);
         if (t.who == "all" || t.who == NodeName(i) || (t.who == "leader" && leads)) {
-          KillNode(i, std::max(t.span, Between(2, 4)));
+          const Micros usual = Between(2, 4);
+          KillNode(i, t.span.count > 0 ? t.span : usual);
           if (t.who == "leader") break;
         }
       }
       return;
+    case Kind::kStateRefuses:
     case Kind::kFreeze:
       for (size_t i = 0; i < nodes_.size(); ++i) {
         const bool leads = Leader() == static_cast<int>(i);
         if (t.who != NodeName(i) && !(t.who == "leader" && leads)) continue;
-        nodes_[i].frozen_until = now_ + t.span;
+        (t.kind == Kind::kFreeze ? nodes_[i].frozen_until : nodes_[i].refused_until) =
+            now_ + t.span;
         break;
       }
       return;
--- a/src/rehearsal/world.h
+++ b/src/rehearsal/world.h
@@ -114,11 +114,13 @@
   void StartNode(size_t index);
   void KillNode(size_t index, Micros back_after);
   void TickNode(size_t index, int life);
+  void WhenAwake(size_t index, std::function<void(Controller*)> then);
   void PumpNode(size_t index);
   void NodeState(size_t index, StateOp op);
   int Leader() const;
 
   // State service.
+  bool RefusedByState(uint64_t id) const;
   void AskState(uint64_t id, const store::Request& request);
   void PumpState();
   void StartState();  // from disk_
@@ -164,7 +166,8 @@
     store::RateLimit rate{0, {}};
     std::map<RequestId, uint64_t> callers;  // token -> call
     RequestId next_token = 0;
-    Micros frozen_until;  // stands still, while its clock goes on
+    Micros frozen_until;   // stands still, while its clock goes on
+    Micros refused_until;  // by the state service, which serves the others
   };
   struct Worker {
     std::unique_ptr<agent::Agent> agent;
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -228,6 +228,10 @@
     if (verb == "option") return Option(w);
     if (!core_) core_ = std::make_unique<Controller>(settings_, options_);
     if (verb == "advance") return Advance(Seconds(std::stod(w.At(1))));
+    if (verb == "stands") {  // still, while its clocks go on
+      now_ = now_ + Seconds(std::stod(w.At(1)));
+      return;
+    }
     if (verb == "restart") {
       core_ = std::make_unique<Controller>(settings_, options_);
       watches_.clear();
