Gangs stop work of lower rank that saves, too, after its save

Change: it is told to save and go; which machine a gang clears goes by what is lost, for such work its save and 30 s for another place.

--- a/src/core/reign/gangs.cpp
+++ b/src/core/reign/gangs.cpp
@@ -9,6 +9,12 @@
 #include "core/reign/sharing.h"
 
 namespace badgershore {
+namespace {
+
+// A task that saved runs on after it has found a place, and its image, again.
+constexpr Micros kRestart = Seconds(30);
+
+}  // namespace
 
 void Gangs::Tick(Micros now) {
   std::vector<Job*> gangs;
@@ -101,13 +107,27 @@
 }
 
 bool Gangs::MayStop(const Occupant& o, const Job& gang) const {
-  if (!o.job || o.job->gang() || o.job->spec.checkpoint_every.count > 0) return false;
+  if (!o.job || o.job->gang()) return false;
   if (o.job->spec.rank > gang.spec.rank) return true;
   // Its team's guarantee goes before what others have beyond theirs.
   return gang.guaranteed() && o.team != gang.team && !o.job->service() &&
          sharing().Beyond(o.team, o.need);
 }
 
+// What a task has run for and loses when it is stopped: one that saves loses the time that its
+// saving and starting anew take.
+Micros Gangs::LostBy(Micros now, const Occupant& o) const {
+  const Micros ran =
+      std::max(Micros{}, now - o.job->tasks[static_cast<size_t>(o.ref.task)].bound_at);
+  if (o.job->spec.checkpoint_every.count == 0) return ran;
+  return std::min(ran, o.job->spec.save_time + kRestart);
+}
+
+void Gangs::Stop(Occupant* o) {
+  o->halt = true;
+  o->grace = o->job->spec.checkpoint_every.count > 0 ? o->job->spec.save_time : Micros{};
+}
+
 // Where a team's limit keeps a gang waiting, work of lower rank of the same team ends for it: most
 // ends by itself, since no more of it starts; what is missing still is stopped, what ran least
 // first.
@@ -115,7 +135,7 @@
   // What the gang itself claims is not missing.
   Resources missing = ledger().LimitShort(gang, 0);
   struct Choice {
-    Micros ran;
+    Micros lost;
     Machine* machine;
     Occupant* o;
   };
@@ -126,18 +146,16 @@
       if (o.halt) {
         missing = missing - o.need;
       } else if (o.job && o.soft > static_cast<int>(gang.spec.rank)) {
-        const TaskState& t = o.job->tasks[static_cast<size_t>(o.ref.task)];
-        choices.push_back({now - t.bound_at, m.get(), &o});
+        choices.push_back({LostBy(now, o), m.get(), &o});
       }
     }
   }
   std::stable_sort(choices.begin(), choices.end(),
-                   [](const Choice& a, const Choice& b) { return a.ran < b.ran; });
+                   [](const Choice& a, const Choice& b) { return a.lost < b.lost; });
   std::map<std::string, Machine*> told;  // by id: the order of addresses differs between runs
   for (const Choice& c : choices) {
     if (missing.cpu <= 0 && missing.gpu <= 0) break;
-    c.o->halt = true;
-    c.o->grace = {};
+    Stop(c.o);
     missing = missing - c.o->need;
     told[c.machine->id] = c.machine;
   }
@@ -158,7 +176,7 @@
     const TaskState& t = o.job->tasks[static_cast<size_t>(o.ref.task)];
     const double ran = std::max(0.0, (now - t.bound_at).ToSeconds());
     if (MayStop(o, gang)) {
-      cost += ran * cpu;
+      cost += LostBy(now, o).ToSeconds() * cpu;
     } else if (o.job->service()) {
       kept = kept + o.need;
     } else {
@@ -256,20 +274,19 @@
     if (o.halt) {
       room = room + o.need;
     } else if (MayStop(o, gang)) {
-      const TaskState& t = o.job->tasks[static_cast<size_t>(o.ref.task)];
-      stoppable.emplace_back(now - t.bound_at, &o);
+      stoppable.emplace_back(LostBy(now, o), &o);
     }
   }
   std::sort(stoppable.begin(), stoppable.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
   double lost = 0;
   bool any = false;
-  for (auto& [ran, o] : stoppable) {
+  for (auto& [loss, o] : stoppable) {
     if (need.Fits(room)) break;
-    o->halt = any = true;
-    o->grace = {};
+    Stop(o);
+    any = true;
     room = room + o->need;
-    lost += ran.ToSeconds() * static_cast<double>(o->need.cpu) / 1000;
+    lost += loss.ToSeconds() * static_cast<double>(o->need.cpu) / 1000;
   }
   if (!any) return;
   asker()->Debug("clearing " + m->id + " for gang " + gang.spec.id + ", " +
--- a/src/core/reign/gangs.h
+++ b/src/core/reign/gangs.h
@@ -23,6 +23,8 @@
   bool Place(Micros now, Job* job);
   bool AwaitsClear(Micros now, const Job& job, const std::vector<int>& members) const;
   bool MayStop(const Occupant& o, const Job& gang) const;
+  Micros LostBy(Micros now, const Occupant& o) const;
+  void Stop(Occupant* o);
   void MakeLimitRoom(Micros now, const Job& gang);
   std::optional<double> CostToClear(Micros now, const Machine& m, const Job& gang) const;
   void ReserveFor(Micros now, Job* gang);
--- a/src/core/reign/ledger.cpp
+++ b/src/core/reign/ledger.cpp
@@ -53,7 +53,7 @@
     ++job->placed;
     ++job->zone_count[m->zone];
   }
-  if (job && !job->gang() && !job->service() && job->spec.checkpoint_every.count == 0) {
+  if (job && !job->gang() && !job->service()) {
     o.soft = static_cast<int>(job->spec.rank);
   }
   Count(m, &o);
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -418,7 +418,7 @@
     spec.lane = w.Text("lane", "lane");
     spec.team = w.Text("team", "team");
     spec.shape = w.Has("gang") ? Shape::kGang : w.Has("service") ? Shape::kService : Shape::kArray;
-    spec.rank = w.Has("high") ? Rank::kHigh : Rank::kNormal;
+    spec.rank = w.Has("high") ? Rank::kHigh : w.Has("idle") ? Rank::kIdle : Rank::kNormal;
     spec.tasks = static_cast<int>(w.Number("tasks", 1));
     spec.need = {static_cast<int64_t>(w.Number("cpus", 1) * 1000), 0,
                  static_cast<int64_t>(w.Number("mem", 1) * 1000)};
