Blame in one place: a job at fault is tried one task at a time and takes nobody's room

Need: jobs submitted with a mistake fail on every machine until their users cancel. Cause of harm before: each task was tried on its own, machines that reported three failures first went back, rooms were cleared and machines rented for such jobs. Change: Blame weighs which jobs fail on a machine and on which machines a job fails; a job that fails on three and hardly runs anywhere is probed after 4 to 64 s, doubled by successes; it gets no room by guarantee, share, rent or clearing; a machine goes back for two jobs that nothing speaks against, or three failures in a row of one that runs elsewhere.

--- a/src/core/model/fleet.h
+++ b/src/core/model/fleet.h
@@ -94,6 +94,7 @@
 
   std::set<std::string> failed_jobs;
   int failures_in_row = 0;
+  Micros failing_since;
   std::deque<std::string> images;  // most recent last
 
   // The ledger keeps these: what has not exited, how many of jobs that are not known, and what
--- a/src/core/model/jobs.h
+++ b/src/core/model/jobs.h
@@ -68,10 +68,17 @@
   std::vector<Pages::Page*> chunks;
   int failures = 0;
   std::vector<std::string> failed_on;  // distinct machines, a few
+  // While it is at fault: so many tasks at a time, the next not before.
+  int probes = 1;
+  Micros probe_at, probe_pause;
 
   bool gang() const { return spec.shape == Shape::kGang; }
   bool service() const { return spec.shape == Shape::kService; }
   int left() const { return spec.tasks - done; }
+  // It fails on one machine after the other, and hardly anywhere else.
+  bool AtFault() const { return failed_on.size() >= 3 && failures >= 3 * (done + running); }
+  // What of it is worth room: a job at fault gets none beyond its probes.
+  int wanted() const { return AtFault() ? std::min(left(), placed + probes) : left(); }
   // Its next start is within its team's guarantee.
   bool guaranteed() const { return placed < within; }
   // Its tasks start next: it has waited past the age limit, or would else miss an aim.
--- a/src/core/place/autoscale.cpp
+++ b/src/core/place/autoscale.cpp
@@ -274,7 +274,7 @@
     return true;
   };
   for (const Job* job : view.jobs) {
-    if (!job->gang() || job->gang_attempt != 0 || job->finishing) continue;
+    if (!job->gang() || job->gang_attempt != 0 || job->finishing || job->AtFault()) continue;
     if (!within_limit(job->team, job->spec, job->left())) continue;
     for (int i = 0; i < job->left(); ++i) provide(job->spec);
     waiting += job->left();
@@ -310,8 +310,8 @@
   for (const Job* job : view.jobs) {
     if (job->gang() || job->finishing) continue;
     const JobSpec& s = job->spec;
-    const int open = job->left() - job->placed;
-    if (!typical || job->left() > typical->left()) typical = job;
+    const int open = job->wanted() - job->placed;
+    if (!typical || job->wanted() > typical->wanted()) typical = job;
     running += static_cast<double>(job->placed) * static_cast<double>(s.need.cpu);
     if (job->service()) {
       replicas += static_cast<double>(job->left()) * static_cast<double>(s.need.cpu);
@@ -321,7 +321,7 @@
     const double work = (open + 0.5 * job->placed) * est * static_cast<double>(s.need.cpu);
     waiting_work += open * est * static_cast<double>(s.need.cpu);
     wishes.push_back({TimeLeft(view, *job, quickest), s.estimate, work});
-    wide[job->team] += static_cast<double>(job->left()) * static_cast<double>(s.need.cpu);
+    wide[job->team] += static_cast<double>(job->wanted()) * static_cast<double>(s.need.cpu);
   }
   // More than its limit a team never has at once, however much of its work waits.
   double most = std::numeric_limits<double>::max();
@@ -478,7 +478,7 @@
   // The measure above speaks of the job with most left. One that no machine at hand can hold gets
   // a machine of its own.
   for (const Job* job : view.jobs) {
-    if (job->gang() || job->finishing || job->left() == job->placed) continue;
+    if (job->gang() || job->finishing || job->wanted() == job->placed) continue;
     bool held = !plan->rent.empty();
     for (Machine* m : view.machines) {
       if (held) break;
--- /dev/null
+++ b/src/core/reign/blame.cpp
@@ -0,0 +1,84 @@
+#include "core/reign/blame.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "core/reign/book.h"
+#include "core/reign/dispatch.h"
+#include "core/reign/roster.h"
+
+namespace badgershore {
+namespace {
+
+constexpr Micros kFirstProbe = Seconds(4);
+constexpr Micros kLastProbe = Seconds(64);
+constexpr int kMostProbes = 1024;
+constexpr int kInARow = 3;
+// So long nothing but failures on a machine, and no other machine to tell whether it is the job.
+constexpr Micros kNothingElse = Seconds(20);
+
+}  // namespace
+
+Blame::Verdict Blame::Failed(Micros now, Machine* m, Job* job, int task) {
+  TaskState& t = job->tasks[static_cast<size_t>(task)];
+  const bool before = job->AtFault();
+  if (std::find(job->failed_on.begin(), job->failed_on.end(), m->id) == job->failed_on.end() &&
+      job->failed_on.size() < 8) {
+    job->failed_on.push_back(m->id);
+  }
+  ++job->failures;
+  if (t.failures < 200) ++t.failures;
+  if (job->AtFault()) {
+    if (!before) Condemn(now, job);
+    // A round of failures that were under way counts as one.
+    if (now >= job->probe_at) {
+      job->probe_pause = before ? std::min(job->probe_pause.Scaled(2), kLastProbe) : kFirstProbe;
+      job->probe_at = now + job->probe_pause;
+    }
+    job->probes = 1;
+    return {job->gang() ? job->probe_at - now : Micros{}, false};
+  }
+  Verdict v;
+  v.pause = Seconds(0.25 * std::pow(2.0, std::min<int>(t.failures, 6)));
+  if (m->failed_jobs.empty()) m->failing_since = now;
+  m->failed_jobs.insert(job->spec.id);
+  ++m->failures_in_row;
+  // Of jobs that nothing speaks for, those that failed elsewhere too say nothing of this machine.
+  int jobs = 0;
+  for (const std::string& id : m->failed_jobs) {
+    const Job* other = book().Find(id);
+    jobs += other && (Proven(*other) || other->failed_on.size() == 1);
+  }
+  v.machine_at_fault =
+      jobs >= 2 || (m->failures_in_row >= kInARow &&
+                    (Proven(*job) || now - m->failing_since > kNothingElse));
+  return v;
+}
+
+// Its machines are cleared of it, and its tasks leave their queues.
+void Blame::Condemn(Micros now, Job* job) {
+  asker()->Info("job " + job->spec.id + " fails wherever it starts: one task at a time");
+  job->probe_at = now;
+  for (const auto& [id, m] : roster().machines()) {
+    if (m->failed_jobs.erase(job->spec.id) > 0 && m->failed_jobs.empty()) m->failures_in_row = 0;
+  }
+  dispatch().Unbind(job);
+}
+
+void Blame::Done(Micros now, Machine* m, Job* job) {
+  m->failures_in_row = 0;
+  m->failed_jobs.clear();
+  if (!job->AtFault()) return;
+  job->failures /= 2;
+  job->probes = std::min(job->probes * 2, kMostProbes);
+  job->probe_pause = kFirstProbe;
+  job->probe_at = now;
+}
+
+int Blame::MayBind(Micros now, const Job& job) const {
+  if (!job.AtFault()) return std::numeric_limits<int>::max();
+  return now < job.probe_at ? 0 : std::max(0, job.probes - job.placed - job.queued);
+}
+
+}  // namespace badgershore
--- a/src/core/reign/book.cpp
+++ b/src/core/reign/book.cpp
@@ -177,7 +177,7 @@
                      [](const Job* a, const Job* b) { return a->arrived < b->arrived; });
     for (Job* job : jobs) {
       const bool whole = job->gang() || job->service();
-      const int64_t holds = std::min<int64_t>(room.Holds(job->spec.need), job->left());
+      const int64_t holds = std::min<int64_t>(room.Holds(job->spec.need), job->wanted());
       job->within = static_cast<int>(whole && holds < job->left() ? 0 : holds);
       room = room - job->spec.need.Times(job->within);
       if (!job->guaranteed()) {
--- a/src/core/reign/dispatch.cpp
+++ b/src/core/reign/dispatch.cpp
@@ -2,6 +2,7 @@
 #include "core/reign/dispatch.h"
 
 #include "core/place/autoscale.h"
+#include "core/reign/blame.h"
 #include "core/reign/book.h"
 #include "core/reign/ledger.h"
 #include "core/reign/roster.h"
@@ -194,7 +195,7 @@
       job->delayed.erase(job->delayed.begin());
     }
     if (job->gang() || job->waiting.empty() || job->queued >= options().bind_window ||
-        !ledger().LimitAllows(*job, 1) || roster().Held(*job)) {
+        !ledger().LimitAllows(*job, 1) || roster().Held(*job) || blame().MayBind(now, *job) == 0) {
       continue;
     }
     std::vector<Able> able;
@@ -208,15 +209,32 @@
     }
     if (able.empty()) continue;
     LeastReceived turns(*job, able);
-    while (!job->waiting.empty() && job->queued < options().bind_window) {
+    int may = blame().MayBind(now, *job);
+    while (!job->waiting.empty() && job->queued < options().bind_window && may > 0) {
       const int task = job->waiting.front();
       job->waiting.pop_front();
       if (job->tasks[static_cast<size_t>(task)].stage != TaskStage::kWaiting) continue;
       Bind(now, job, task, *turns.Next());
+      --may;
     }
   }
 }
 
+void Dispatch::Unbind(Job* job) {
+  for (const auto& [id, m] : roster().machines()) {
+    m->queue.erase(QueueKey{job->spec.rank, job->spec.estimate, job->spec.id});
+  }
+  for (int i = 0; i < job->spec.tasks; ++i) {
+    TaskState& t = job->tasks[static_cast<size_t>(i)];
+    if (t.stage != TaskStage::kQueued) continue;
+    t.stage = TaskStage::kWaiting;
+    t.machine = nullptr;
+    job->waiting.push_back(i);
+  }
+  job->queued = 0;
+  job->bound.clear();
+}
+
 void Dispatch::Unbind(Machine* m) {
   for (auto& [key, entry] : m->queue) {
     for (auto it = entry.tasks.rbegin(); it != entry.tasks.rend(); ++it) {
--- a/src/core/reign/dispatch.h
+++ b/src/core/reign/dispatch.h
@@ -19,6 +19,7 @@
   void BindWaiting(Micros now);
   void StartFrom(Micros now, Machine* m, std::vector<Order>* orders);
   void Unbind(Machine* m);
+  void Unbind(Job* job);  // from all machines' queues
   // What of a machine is open to a job, where `used` is taken.
   Resources RoomFor(const Machine& m, const Job& job, const Resources& used, Micros now) const;
 
--- a/src/core/reign/gangs.cpp
+++ b/src/core/reign/gangs.cpp
@@ -36,7 +36,8 @@
   ledger().DropClaims();
   for (Job* job : gangs) {
     Follow(now, job);
-    if (job->placed > 0 || now < job->not_before || roster().Held(*job)) {
+    // For one that fails wherever it starts nothing else is stopped.
+    if (job->placed > 0 || now < job->not_before || roster().Held(*job) || job->AtFault()) {
       Release(job);
       continue;
     }
--- a/src/core/reign/leader.cpp
+++ b/src/core/reign/leader.cpp
@@ -14,6 +14,7 @@
 Leader::Leader(Reign reign, Micros now, int64_t time_of_day_ms)
     : reign_(std::move(reign)),
       scaler_(*reign_.options),
+      blame_(&reign_),
       book_(&reign_),
       ledger_(&reign_),
       roster_(&reign_),
@@ -28,6 +29,7 @@
   reign_.began = ticked_at_ = now;
   reign_.began_ms = time_of_day_ms;
   reign_.scaler = &scaler_;
+  reign_.blame = &blame_;
   reign_.book = &book_;
   reign_.ledger = &ledger_;
   reign_.roster = &roster_;
--- a/src/core/reign/leader.h
+++ b/src/core/reign/leader.h
@@ -8,6 +8,7 @@
 
 #include "core/desk/mirror.h"
 #include "core/place/autoscale.h"
+#include "core/reign/blame.h"
 #include "core/reign/book.h"
 #include "core/reign/checkins.h"
 #include "core/reign/dispatch.h"
@@ -58,6 +59,7 @@
   int loading_ = 2;
   std::unique_ptr<Mirror> jobs_mirror_;
   Autoscaler scaler_;
+  Blame blame_;
   Book book_;
   Ledger ledger_;
   Roster roster_;
--- a/src/core/reign/part.h
+++ b/src/core/reign/part.h
@@ -15,6 +15,7 @@
 namespace badgershore {
 
 class Autoscaler;
+class Blame;
 class Book;
 class Checkins;
 class Dispatch;
@@ -40,6 +41,7 @@
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
   Autoscaler* scaler = nullptr;
+  Blame* blame = nullptr;
   Book* book = nullptr;
   Checkins* checkins = nullptr;
   Dispatch* dispatch = nullptr;
@@ -70,6 +72,7 @@
   int64_t began_ms() const { return reign_->began_ms; }
 
   Autoscaler& scaler() const { return *reign_->scaler; }
+  Blame& blame() const { return *reign_->blame; }
   Book& book() const { return *reign_->book; }
   Checkins& checkins() const { return *reign_->checkins; }
   Dispatch& dispatch() const { return *reign_->dispatch; }
--- a/src/core/reign/roster.cpp
+++ b/src/core/reign/roster.cpp
@@ -1,9 +1,8 @@
 // The reign's machines: what reports prove of each, silence, resolving after a takeover.
 #include "core/reign/roster.h"
 
-#include <cmath>
-
 #include "core/place/guardrails.h"
+#include "core/reign/blame.h"
 #include "core/reign/book.h"
 #include "core/reign/checkins.h"
 #include "core/reign/dispatch.h"
@@ -300,8 +299,7 @@
   TaskState& t = job->tasks[static_cast<size_t>(o->ref.task)];
   const bool current = t.stage == TaskStage::kPlaced && t.machine == m && t.attempt == o->attempt;
   if (cause == ExitCause::kDone) {
-    m->failures_in_row = 0;
-    m->failed_jobs.clear();
+    blame().Done(now, m, job);
     book().MarkDone(now, job, o->ref.task);
     if (job->service() && current) book().TaskBack(now, job, o->ref.task, Seconds(1));
     return;
@@ -310,24 +308,9 @@
   if (cause == ExitCause::kError) {
     asker()->Debug("task " + o->ref.job + "/" + std::to_string(o->ref.task) + " failed on " +
                    m->id);
-    if (std::find(job->failed_on.begin(), job->failed_on.end(), m->id) == job->failed_on.end() &&
-        job->failed_on.size() < 8) {
-      job->failed_on.push_back(m->id);
-    }
-    ++job->failures;
-    if (t.failures < 200) ++t.failures;
-    // A job that fails wherever it goes is itself at fault; then the machine is not blamed.
-    const bool job_at_fault = job->failed_on.size() >= 3 && job->done == 0;
-    if (!job_at_fault) {
-      m->failed_jobs.insert(job->spec.id);
-      ++m->failures_in_row;
-    }
-    const double s = job_at_fault ? 2.0 * std::pow(2.0, std::min<int>(t.failures, 5))
-                                  : 0.25 * std::pow(2.0, std::min<int>(t.failures, 6));
-    pause = Seconds(s);
-    if (m->failed_jobs.size() >= 2 || (m->failures_in_row >= 3 && !job_at_fault)) {
-      GiveBack(now, m, "its tasks fail");
-    }
+    const Blame::Verdict verdict = blame().Failed(now, m, job, o->ref.task);
+    pause = verdict.pause;
+    if (verdict.machine_at_fault) GiveBack(now, m, "its tasks fail");
   } else if (cause == ExitCause::kFull) {
     m->hold_off = now + Seconds(2);
   } else if (cause == ExitCause::kUnknown) {
--- a/src/core/reign/sharing.cpp
+++ b/src/core/reign/sharing.cpp
@@ -83,7 +83,7 @@
   Resources wanted;
   for (Share& s : shares_) s = {};
   for (const auto& [id, job] : book().jobs()) {
-    const int open = job->left() - job->placed;
+    const int open = job->wanted() - job->placed;
     if (open <= 0 || job->finishing || job->team < 0) continue;
     if (!ledger().LimitAllows(*job, 1)) continue;  // it waits for its own team
     shares_[static_cast<size_t>(job->team)].wants = true;
@@ -106,7 +106,7 @@
   }
   pressing_.clear();
   for (const auto& [id, job] : book().jobs()) {
-    if (job->gang() || job->team < 0 || job->left() == job->placed || job->finishing) continue;
+    if (job->gang() || job->team < 0 || job->wanted() == job->placed || job->finishing) continue;
     const Share& s = shares_[static_cast<size_t>(job->team)];
     const bool under = any_over && s.dominant * active < sum;
     if (job->guaranteed() || under) pressing_.push_back(job.get());
