A listening address still in use is waited for, up to 10 s

Change: bind is tried again for 10 s. Test: a real controller whose address is held lives on and serves once it is free.

--- a/src/io/loop.cpp
+++ b/src/io/loop.cpp
@@ -159,6 +159,8 @@
   co_return socket;
 }
 
+constexpr Micros kAddressPatience = Seconds(10);
+
 Socket Socket::Listen(Loop* loop, const std::string& addr, std::string* error) {
   sockaddr_in sa{};
   if (!ParseAddr(addr, &sa, 0)) {
@@ -168,8 +170,18 @@
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   int one = 1;
   if (fd >= 0) setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-  if (fd < 0 || ::bind(fd, reinterpret_cast<sockaddr*>(&sa), sizeof(sa)) != 0 ||
-      ::listen(fd, 256) != 0) {
+  const auto take = [&] {
+    return fd >= 0 && ::bind(fd, reinterpret_cast<sockaddr*>(&sa), sizeof(sa)) == 0 &&
+           ::listen(fd, 256) == 0;
+  };
+  bool taken = take();
+  // A process that is back at once may find its predecessor's socket not yet closed.
+  const Micros latest = Loop::Now() + kAddressPatience;
+  while (!taken && fd >= 0 && errno == EADDRINUSE && Loop::Now() < latest) {
+    ::usleep(20000);
+    taken = take();
+  }
+  if (!taken) {
     *error = "can't listen on " + addr + ": " + std::strerror(errno);
     if (fd >= 0) ::close(fd);
     return Socket();
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -195,5 +195,29 @@
   EXPECT_NE(help.find("--options"), std::string::npos);
 }
 
+// A process that is back at once finds its predecessor's socket still there: no reason to end.
+TEST_F(Program, AnAddressStillInUseIsWaitedFor) {
+  NodeProcess& node = nodes_[0];
+  sockaddr_in sa{};
+  sa.sin_family = AF_INET;
+  sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  sa.sin_port = htons(static_cast<uint16_t>(std::stoi(node.listen.substr(10))));
+  const int held = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ASSERT_EQ(::bind(held, reinterpret_cast<sockaddr*>(&sa), sizeof(sa)), 0);
+  ASSERT_EQ(::listen(held, 1), 0);
+  node.Start();
+  usleep(400000);
+  EXPECT_EQ(waitpid(node.pid, nullptr, WNOHANG), 0);
+  ::close(held);
+  bool answers = false;
+  for (int i = 0; i < 500 && !answers; ++i) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    answers = ::connect(fd, reinterpret_cast<sockaddr*>(&sa), sizeof(sa)) == 0;
+    ::close(fd);
+    if (!answers) usleep(20000);
+  }
+  EXPECT_TRUE(answers);
+}
+
 }  // namespace
 }  // namespace badgershore
