Submissions beyond the state service's limit are turned away by team, with a time to come back

Need: guests that send several jobs a second use the same 15 changes a second as the home team's few. Change: once the state service has answered 429 to a submission, for 3 s a team with more than 1.2 times an equal part of what came of late gets 429 and 1 to 10 s; the others go on; a team alone is held to the state service's own limit. An outage (503) turns nobody away.

--- a/src/core/desk/controller.cpp
+++ b/src/core/desk/controller.cpp
@@ -268,7 +268,7 @@
 }
 
 void Controller::OnSubmit(Micros now, RequestId token, Submission submission) {
-  frontdesk_->Submit(token, std::move(submission), now - state_ok_at_ < Seconds(2));
+  frontdesk_->Submit(now, token, std::move(submission), now - state_ok_at_ < Seconds(2));
 }
 
 void Controller::OnQuery(Micros, RequestId token, const std::string& job) {
--- a/src/core/desk/frontdesk.cpp
+++ b/src/core/desk/frontdesk.cpp
@@ -17,13 +17,14 @@
   asker_->out.answers.push_back({token, status, id, phase, done, running, "", 0});
 }
 
-void Frontdesk::Refuse(RequestId token, int status, const std::string& id, std::string reason) {
+void Frontdesk::Refuse(RequestId token, int status, const std::string& id, std::string reason,
+                       int retry_after_s) {
   UserAnswer a;
   a.token = token;
   a.status = status;
   a.job = id;
   a.reason = std::move(reason);
-  if (status == 503) a.retry_after_s = 1;
+  if (status == 503 || status == 429) a.retry_after_s = retry_after_s;
   asker_->out.answers.push_back(std::move(a));
 }
 
@@ -75,7 +76,7 @@
   });
 }
 
-void Frontdesk::Submit(RequestId token, Submission submission, bool state_answers) {
+void Frontdesk::Submit(Micros now, RequestId token, Submission submission, bool state_answers) {
   const std::string id = submission.id;
   if (id.empty()) return Refuse(token, 400, id, submission.reason);
   const auto live = [=, this](const StateReply&) { AnswerLive(token, id); };
@@ -92,12 +93,16 @@
   const std::string never = facts_.never_runs(*submission.spec);
   if (!never.empty()) return Read(token, id, 422, never, live);
   if (AnswerFinal(token, id)) return;
+  if (const int wait = admission_.TurnAway(now, submission.spec->team); wait > 0) {
+    return Refuse(token, 429, id, "more jobs come than can be recorded", wait);
+  }
   StateOp op;
   op.kind = StateOp::Kind::kCommit;
   op.guards = {{keys::kJob + id, 0}, {keys::kEnd + id, 0}};
   op.changes = {{keys::kJob + id, false, *submission.spec, 0}};
-  asker_->State(op, [=, this](Micros, StateReply& r) {
+  asker_->State(op, [=, this](Micros t, StateReply& r) {
     if (r.ok()) return Answer(token, 201, id, Phase::kPending);
+    if (r.limited) admission_.Limited(t);
     if (r.outcome == StateReply::Outcome::kConflict) {
       return Read(token, id, 503, "the job's record is changing", live);
     }
--- a/src/core/desk/frontdesk.h
+++ b/src/core/desk/frontdesk.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/desk/admission.h"
 #include "core/desk/asker.h"
 
 namespace badgershore {
@@ -28,7 +29,7 @@
   Frontdesk(Asker* asker, Facts facts) : asker_(asker), facts_(std::move(facts)) {}
 
   // `state_answers`: the state service has answered of late.
-  void Submit(RequestId token, Submission submission, bool state_answers);
+  void Submit(Micros now, RequestId token, Submission submission, bool state_answers);
   void Query(RequestId token, const std::string& id);
   void Withdraw(RequestId token, const std::string& id, int rounds = 4);
 
@@ -39,13 +40,15 @@
             OnRead live, int unread_status = 503);
   void Answer(RequestId token, int status, const std::string& id, Phase phase, int done = 0,
               int running = 0);
-  void Refuse(RequestId token, int status, const std::string& id, std::string reason);
+  void Refuse(RequestId token, int status, const std::string& id, std::string reason,
+              int retry_after_s = 1);
   bool AnswerFinal(RequestId token, const std::string& id);
   void Remember(const std::string& id, const EndRecord& end);
   void AnswerLive(RequestId token, const std::string& id);
 
   Asker* asker_;
   Facts facts_;
+  Admission admission_;
   // Ends never change, so they may be kept; the oldest fall out.
   static constexpr size_t kFinals = 4096;
   std::unordered_map<std::string, EndRecord> finals_;
--- a/src/core/model/effects.h
+++ b/src/core/model/effects.h
@@ -51,6 +51,7 @@
   uint64_t epoch = 0;
   uint64_t lease = 0;
   bool more = false;
+  bool limited = false;  // kRefused because its limit is reached
   bool ok() const { return outcome == Outcome::kOk; }
 };
 
--- a/src/core/reign/blame.cpp
+++ b/src/core/reign/blame.cpp
@@ -50,9 +50,8 @@
     const Job* other = book().Find(id);
     jobs += other && (Proven(*other) || other->failed_on.size() == 1);
   }
-  v.machine_at_fault =
-      jobs >= 2 || (m->failures_in_row >= kInARow &&
-                    (Proven(*job) || now - m->failing_since > kNothingElse));
+  v.machine_at_fault = jobs >= 2 || (m->failures_in_row >= kInARow &&
+                                     (Proven(*job) || now - m->failing_since > kNothingElse));
   return v;
 }
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -617,6 +617,7 @@
     case 429:
     case 503:
       reply.outcome = Outcome::kRefused;
+      reply.limited = status == 429;
       break;
     default:
       reply.outcome = status >= 200 && status < 300 ? Outcome::kOk : Outcome::kInvalid;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "core/desk/admission.h"
 #include "core/model/jobs.h"
 #include "core/place/autoscale.h"
 #include "core/place/guardrails.h"
@@ -128,6 +129,30 @@
 
 // Guards against: a takeover that forgets what has been arriving, so that the room kept for work
 // which can't wait for a boot is given back just when the leader has changed.
+// Guards against: a guest's thousand single jobs using up the writes that the home team's few need.
+TEST(Admission, TurnsAwayWhoSendsMostWhileTheStateServiceIsAtItsLimit) {
+  Admission a;
+  Micros now = Seconds(100);
+  const auto flood = [&](int jobs) {
+    int away = 0;
+    for (int i = 0; i < jobs; ++i) away += a.TurnAway(now, "guests") > 0;
+    return away;
+  };
+  EXPECT_EQ(a.TurnAway(now, "home"), 0);
+  EXPECT_EQ(flood(50), 0);  // nothing has been refused
+  a.Limited(now);
+  EXPECT_EQ(flood(20), 20);
+  EXPECT_EQ(a.TurnAway(now, "home"), 0);
+  EXPECT_EQ(a.TurnAway(now, "third"), 0);
+  EXPECT_LE(a.TurnAway(now, "guests"), 10);  // a time that its user still waits for
+  now = now + Seconds(4);
+  EXPECT_EQ(flood(1), 0);  // the limit has not been met again
+  // A team alone is never turned away here, whatever it sends.
+  Admission alone;
+  alone.Limited(now);
+  for (int i = 0; i < 100; ++i) EXPECT_EQ(alone.TurnAway(now, "home"), 0);
+}
+
 TEST(Renting, KeepsRoomForWhatCameBeforeTheReign) {
   const Options options;
   const std::vector<std::string> zones = {"a"};
