A leader whose process is back at once takes its last life's place

Need: a process may be back within a fraction of a second; a leader that was waited 2.5 s for its own last life's lease, and so did all.

--- a/src/core/desk/election.cpp
+++ b/src/core/desk/election.cpp
@@ -28,6 +28,12 @@
     leader_.clear();
     const auto* lead = std::get_if<LeadRecord>(&e.value);
     if (lead && !e.erased) leader_ = lead->leader;
+    // Only what was there before the first look can be a last life's. It is over: this process has
+    // its address. Its lease need not be waited out, and its word counts for nothing.
+    if (!mirror_.synced() && !leads() && leader_ == member_) {
+      last_life_ = e.stamp;
+      leader_.clear();
+    }
     if (e.erased) {
       free_stamp_ = e.stamp;
       WaitForTurn(now);
@@ -79,8 +85,7 @@
 
 void Election::Tick(Micros now) {
   mirror_.Tick(now);
-  if (role_ == Role::kFollower && !retiring_ && mirror_.synced() && lead_stamp_ == 0 &&
-      now >= stand_at_) {
+  if (role_ == Role::kFollower && !retiring_ && mirror_.synced() && Vacant() && now >= stand_at_) {
     Stand(now);
   }
   if (leads() && !renewing_ && now >= renew_at_) Renew(now);
@@ -101,7 +106,7 @@
     const uint64_t term = std::max(seen_term_, seen_baton_) + 1;
     StateOp commit;
     commit.kind = StateOp::Kind::kCommit;
-    commit.guards = {{keys::kLead, 0}, {keys::kTerm, seen_term_stamp_}};
+    commit.guards = {{keys::kLead, Vacant() ? lead_stamp_ : 0}, {keys::kTerm, seen_term_stamp_}};
     commit.changes = {{keys::kLead, false, LeadRecord{member_, term}, lease},
                       {keys::kTerm, false, TermRecord{term, member_}, 0}};
     asker_->State(commit, [this, sent, lease, term](Micros now, StateReply& r) {
--- a/src/core/desk/election.h
+++ b/src/core/desk/election.h
@@ -52,6 +52,8 @@
  private:
   enum class Role { kFollower, kCandidate, kLeader };
   void Stand(Micros now);
+  // Nobody leads, or only this process' last life, which is gone.
+  bool Vacant() const { return lead_stamp_ == 0 || lead_stamp_ == last_life_; }
   void Renew(Micros now);
   void WaitForTurn(Micros now);
   void OnControl(Micros now, const Entry& e);
@@ -68,6 +70,8 @@
   Role role_ = Role::kFollower;
   uint64_t term_ = 0, term_stamp_ = 0, lease_id_ = 0;
   Micros lease_until_, confirmed_at_, renew_at_;
+  // The place as this process found it when it began, if under its own name: its last life's.
+  uint64_t last_life_ = 0;
   bool renewing_ = false;
   bool retiring_ = false, handing_over_ = false;
   // Whom the last leader named, and by which revision.
