--- a/src/core/desk/controller.cpp
+++ b/src/core/desk/controller.cpp
@@ -30,6 +30,7 @@
   Frontdesk::Facts facts;
   facts.never_runs = [this](const JobSpec& s) { return NeverRuns(s); };
   facts.knows_types = [this] { return TypesKnown(); };
+  facts.calls_off = [this](Micros now, const std::string& job) { CallOff(now, job); };
   facts.digest = [this](const std::string& job) { return DigestOf(job); };
   frontdesk_ = std::make_unique<Frontdesk>(&asker_, std::move(facts));
 }
@@ -197,6 +198,23 @@
   }
 }
 
+PeerNote Controller::NoteOf(Micros now) const {
+  PeerNote note;
+  note.from = settings_.member;
+  note.term = election_->seen_term();
+  note.leader = election_->leader();
+  note.state_ok = now - state_ok_at_ < Seconds(2);
+  note.hears_workers = now - checkin_at_ < Seconds(2);
+  return note;
+}
+
+void Controller::CallOff(Micros now, const std::string& job) {
+  if (leader_) return leader_->CallOff(now, job);
+  PeerNote note = NoteOf(now);
+  note.calls_off.push_back(job);
+  asker_.out.notes.push_back(std::move(note));
+}
+
 void Controller::Tick(Micros now, int64_t time_of_day_ms) {
   time_of_day_ms_ = time_of_day_ms;
   WatchPeers(now);
@@ -212,12 +230,7 @@
   }
   if (now >= note_at_) {
     note_at_ = now + Millis(500);
-    PeerNote note;
-    note.from = settings_.member;
-    note.term = election_->seen_term();
-    note.leader = election_->leader();
-    note.state_ok = now - state_ok_at_ < Seconds(2);
-    note.hears_workers = now - checkin_at_ < Seconds(2);
+    PeerNote note = NoteOf(now);
     if (leader_) note.jobs = leader_->Digests();
     asker_.out.notes.push_back(std::move(note));
   }
@@ -273,7 +286,7 @@
 }
 
 void Controller::OnSubmit(Micros now, RequestId token, Submission submission) {
-  frontdesk_->Submit(now, token, std::move(submission), now - state_ok_at_ < Seconds(2));
+  frontdesk_->Submit(now, token, std::move(submission));
 }
 
 void Controller::OnQuery(Micros, RequestId token, const std::string& job) {
@@ -297,6 +310,9 @@
     election_->StepDown(now, note.from + " knows of term " + std::to_string(note.term));
     former_.reset();
   }
+  if (leader_) {
+    for (const std::string& job : note.calls_off) leader_->CallOff(now, job);
+  }
   peers_[note.from] = Peer{now, note};
   if (note.leader == note.from && note.term >= digest_term_) {
     digest_term_ = note.term;
--- a/src/core/desk/controller.h
+++ b/src/core/desk/controller.h
@@ -53,6 +53,8 @@
   std::string Successor(Micros now) const;
   std::string LeaderName(Micros now) const;
   void GiveWay(Micros now);
+  PeerNote NoteOf(Micros now) const;
+  void CallOff(Micros now, const std::string& job);
 
   PlatformSettings settings_;
   Options options_;
--- a/src/core/desk/frontdesk.cpp
+++ b/src/core/desk/frontdesk.cpp
@@ -52,14 +52,11 @@
 }
 
 void Frontdesk::Read(RequestId token, const std::string& id, int missing_status, std::string reason,
-                     OnRead live, int unread_status) {
+                     OnRead live) {
   if (AnswerFinal(token, id)) return;
-  const auto unread = [=, this] {
-    const bool known_why = unread_status == missing_status;
-    Refuse(token, unread_status, id, known_why ? reason : "the state service can't be read");
-  };
-  asker_->State(GetOp(keys::kJob + id), [=, this](Micros, StateReply& job) {
-    if (job.ok()) return live(job);
+  const auto unread = [=, this] { Refuse(token, 503, id, "the state service can't be read"); };
+  asker_->State(GetOp(keys::kJob + id), [=, this](Micros now, StateReply& job) {
+    if (job.ok()) return live(now, job);
     if (job.outcome != StateReply::Outcome::kMissing) return unread();
     // In this order: a job's record goes in the same change that writes its end.
     asker_->State(GetOp(keys::kEnd + id), [=, this](Micros, StateReply& end) {
@@ -76,17 +73,13 @@
   });
 }
 
-void Frontdesk::Submit(Micros now, RequestId token, Submission submission, bool state_answers) {
+void Frontdesk::Submit(Micros now, RequestId token, Submission submission) {
   const std::string id = submission.id;
   if (id.empty()) return Refuse(token, 400, id, submission.reason);
-  const auto live = [=, this](const StateReply&) { AnswerLive(token, id); };
-  // A known id is known whatever its description would be answered today. Where that can't be
-  // read, what could never have been accepted is still told so: trying again would not help.
-  if (!submission.spec) {
-    if (AnswerFinal(token, id)) return;
-    if (!state_answers) return Refuse(token, 400, id, submission.reason);
-    return Read(token, id, 400, submission.reason, live, 400);
-  }
+  const auto live = [=, this](Micros, const StateReply&) { AnswerLive(token, id); };
+  // A known id is known whatever its description would be answered today: a job that was accepted
+  // may not be told 400 (`forgotten`), so where its record can't be read its user comes again.
+  if (!submission.spec) return Read(token, id, 400, submission.reason, live);
   if (!facts_.knows_types()) {
     return Read(token, id, 503, "the machine types are not known yet", live);
   }
@@ -112,11 +105,14 @@
 }
 
 void Frontdesk::Query(RequestId token, const std::string& id) {
-  Read(token, id, 404, "no such job", [=, this](const StateReply&) { AnswerLive(token, id); });
+  Read(token, id, 404, "no such job",
+       [=, this](Micros, const StateReply&) { AnswerLive(token, id); });
 }
 
 void Frontdesk::Withdraw(RequestId token, const std::string& id, int rounds) {
-  Read(token, id, 404, "no such job", [=, this](const StateReply& job) {
+  Read(token, id, 404, "no such job", [=, this](Micros now, const StateReply& job) {
+    // Told before it is recorded, the leader starts nothing of it once its user has been answered.
+    facts_.calls_off(now, id);
     StateOp op;
     op.kind = StateOp::Kind::kCommit;
     op.guards = {{keys::kJob + id, job.entries[0].stamp}, {keys::kEnd + id, 0}};
--- a/src/core/desk/frontdesk.h
+++ b/src/core/desk/frontdesk.h
@@ -23,21 +23,22 @@
     // Empty: can run. Otherwise why it never can.
     std::function<std::string(const JobSpec&)> never_runs;
     std::function<bool()> knows_types;
+    // The job's cancellation is about to be recorded.
+    std::function<void(Micros, const std::string&)> calls_off;
     // Display counts of a live job.
     std::function<JobDigest(const std::string&)> digest;
   };
   Frontdesk(Asker* asker, Facts facts) : asker_(asker), facts_(std::move(facts)) {}
 
-  // `state_answers`: the state service has answered of late.
-  void Submit(Micros now, RequestId token, Submission submission, bool state_answers);
+  void Submit(Micros now, RequestId token, Submission submission);
   void Query(RequestId token, const std::string& id);
   void Withdraw(RequestId token, const std::string& id, int rounds = 4);
 
  private:
-  using OnRead = std::function<void(const StateReply& job)>;
-  // Reads the job; answers by itself when it is over, unknown (`missing`) or can't be read.
+  using OnRead = std::function<void(Micros, const StateReply& job)>;
+  // Reads the job; answers by itself when it is over, unknown (`missing_status`) or can't be read.
   void Read(RequestId token, const std::string& id, int missing_status, std::string reason,
-            OnRead live, int unread_status = 503);
+            OnRead live);
   void Answer(RequestId token, int status, const std::string& id, Phase phase, int done = 0,
               int running = 0);
   void Refuse(RequestId token, int status, const std::string& id, std::string reason,
--- a/src/core/model/effects.h
+++ b/src/core/model/effects.h
@@ -154,6 +154,9 @@
   bool state_ok = false;
   std::vector<JobDigest> jobs;
   bool hears_workers = false;  // some worker has reported there of late
+  // Jobs whose cancellation is being recorded there: nothing of them is worth starting. A hint;
+  // lost, late or repeated it does no harm.
+  std::vector<std::string> calls_off;
 };
 
 // What a leader tells another cell's: to one address, or to all of the cell's.
--- a/src/core/model/fleet.h
+++ b/src/core/model/fleet.h
@@ -67,7 +67,8 @@
 
   uint64_t session = 0, seq = 0;
   uint64_t checkin_seq = 0;  // of the session's last report that was no answer to a direct call
-  Micros heard_at{-1};       // last valid report
+  Micros heard_at{-1};       // last valid report, also in the answer to a direct call
+  Micros reported_at{-1};    // the last that it sent by itself: only their answers bring starts
   Micros greeted_at{-1};     // first answer to a report of an earlier term since it knew this one
   // Its worker, which has one report in flight, has sent a later one: nobody awaits an answer.
   bool Passed(const Report& r) const {
--- a/src/core/model/jobs.h
+++ b/src/core/model/jobs.h
@@ -48,6 +48,7 @@
   Micros short_since = kNever;            // some of those are on no machine since then
   std::map<std::string, int> zone_count;  // tasks on machines, or perhaps there
   bool finishing = false;                 // all done, the end is being written
+  bool called_off = false;                // its cancellation is being recorded, says a node
 
   std::deque<int> waiting;                   // may hold tasks that have left kWaiting
   std::deque<std::pair<int, Micros>> bound;  // (task, bound_at), oldest first
--- a/src/core/model/pages.cpp
+++ b/src/core/model/pages.cpp
@@ -79,10 +79,10 @@
   page->stamp = stamp;
 }
 
-void Pages::Failed(Page* page, bool unsure, Micros now) {
+void Pages::Failed(Page* page, bool unsure, bool urgent, Micros now) {
   page->writing = false;
   page->unsure = unsure;
-  Touch(page, true, now);
+  Touch(page, urgent, now);
 }
 
 }  // namespace badgershore
--- a/src/core/model/pages.h
+++ b/src/core/model/pages.h
@@ -43,8 +43,8 @@
   Page* Next(bool urgent, Micros now, Micros patience);
   void Sent(Page* page);
   void Written(Page* page, uint64_t stamp);
-  // Not written, or perhaps written (`unsure`).
-  void Failed(Page* page, bool unsure, Micros now);
+  // Not written, or perhaps written (`unsure`: its version is read before it is written again).
+  void Failed(Page* page, bool unsure, bool urgent, Micros now);
 
  private:
   struct Place {
--- a/src/core/reign/book.cpp
+++ b/src/core/reign/book.cpp
@@ -11,6 +11,9 @@
 namespace badgershore {
 namespace {
 
+// A cancellation is recorded within this, or its user is told to ask again.
+constexpr Micros kCalledOff = Seconds(5);
+
 Resources Least(const Resources& a, const Resources& b) {
   return {std::min(a.cpu, b.cpu), std::min(a.gpu, b.gpu), std::min(a.mem, b.mem)};
 }
@@ -67,11 +70,28 @@
     scaler().Arrived(spec, scaler().Allowance(spec, settings().objectives, 1.0) - spec.estimate,
                      boot, job->arrived, now);
   }
+  job->called_off = called_off_.contains(spec.id);
   jobs_[spec.id] = std::move(job);
   asker()->Debug("job " + spec.id + " " + spec.lane + " tasks " + std::to_string(spec.tasks) +
                  " estimate " + std::to_string(spec.estimate.ToSeconds()));
 }
 
+void Book::CallOff(Micros now, const std::string& id) {
+  called_off_[id] = now + kCalledOff;
+  if (Job* job = Find(id)) job->called_off = true;
+}
+
+void Book::GoOn(Micros now) {
+  for (auto it = called_off_.begin(); it != called_off_.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    if (Job* job = Find(it->first)) job->called_off = false;
+    it = called_off_.erase(it);
+  }
+}
+
 void Book::CloseJob(Micros now, Job* job) {
   for (auto& [id, m] : roster().machines()) {
     m->queue.erase(QueueKey{job->spec.rank, job->spec.estimate, job->spec.id});
--- a/src/core/reign/book.h
+++ b/src/core/reign/book.h
@@ -26,6 +26,10 @@
   // Its record is gone: done or withdrawn, and whatever of it still runs is to stop.
   void EndJob(Micros now, const std::string& id);
   void MarkDone(Micros now, Job* job, int task);
+  // A node is recording its cancellation: nothing of it starts for a while. Its record alone says
+  // whether it is over.
+  void CallOff(Micros now, const std::string& job);
+  void GoOn(Micros now);  // with those whose cancellation did not come about
   // A task that was queued or on a machine waits again, after a pause.
   void TaskBack(Micros now, Job* job, int task, Micros pause);
   void MarkGuaranteed(Micros now);
@@ -41,6 +45,7 @@
   void CloseJob(Micros now, Job* job);
 
   Jobs jobs_;
+  std::map<std::string, Micros> called_off_;  // until when; perhaps not known here yet
   Resources least_need_;
 };
 
--- a/src/core/reign/checkins.cpp
+++ b/src/core/reign/checkins.cpp
@@ -144,7 +144,7 @@
   if (!warrant().MayStart(now) || !m->recorded || !m->resolved || !m->type) return;
   if (m->stage != MachineStage::kUp) return;
   for (auto& [key, o] : m->occupants) {
-    if (!o.unsent || !o.job) continue;
+    if (!o.unsent || !o.job || o.job->called_off) continue;
     o.unsent = false;
     o.sent_session = m->session;
     o.sent_seq = m->seq;
--- a/src/core/reign/leader.cpp
+++ b/src/core/reign/leader.cpp
@@ -154,6 +154,7 @@
   roster_.Watch(now);
   if (!reign_.election->leads()) return;
   rights_.Tick(now);
+  book_.GoOn(now);
   book_.MarkGuaranteed(now);
   sharing_.Tick(now);
   supervisor_.Tick(now);
--- a/src/core/reign/leader.h
+++ b/src/core/reign/leader.h
@@ -42,6 +42,7 @@
   // The reign is over: whoever still waits for an answer is to look elsewhere.
   void Dismiss();
   void OnCell(Micros now, const limits::CellNote& note) { rights_.OnNote(now, note); }
+  void CallOff(Micros now, const std::string& job) { book_.CallOff(now, job); }
   const Rights& rights() const { return rights_; }
   bool recording() const { return recorder_.writing(); }
   bool ready() const { return ready_; }
--- a/src/core/reign/recorder.cpp
+++ b/src/core/reign/recorder.cpp
@@ -1,6 +1,8 @@
 // Durable writes, one transaction at a time.
 #include "core/reign/recorder.h"
 
+#include <set>
+
 #include "core/reign/book.h"
 #include "core/reign/checkins.h"
 #include "core/reign/roster.h"
@@ -35,12 +37,13 @@
   struct Piece {
     Pages* pages;
     Pages::Page* page;
-    bool erased = false;
+    bool erased = false, urgent = false;
     std::vector<std::string> machines;
     std::vector<std::pair<std::string, int>> tasks;  // done, and durable with this page
   };
   std::vector<Piece> pieces;
   bool types = false;
+  size_t changes = 0;  // what it costs of the state service's rate
 };
 
 Recorder::Recorder(const Reign* reign, Micros now)
@@ -130,7 +133,7 @@
 }
 
 void Recorder::AddPage(Micros now, Pages* pages, Pages::Page* page, StateOp* op, Batch* batch) {
-  Batch::Piece piece{pages, page, page->items.empty(), {}, {}};
+  Batch::Piece piece{pages, page, page->items.empty(), page->urgent, {}, {}};
   for (const std::string& item : page->items) {
     if (pages == &fleet_pages_) {
       piece.machines.push_back(item);
@@ -216,7 +219,8 @@
     }
   }
   if (op.changes.empty()) return;
-  write_tokens_ -= static_cast<double>(op.changes.size());
+  batch->changes = op.changes.size();
+  write_tokens_ -= static_cast<double>(batch->changes);
   writing_ = true;
   asker()->State(op, Guarded([this, batch](Micros t, StateReply& r) { Written(t, batch, r); }));
 }
@@ -245,14 +249,22 @@
     return election()->StepDown(now, "the term has moved on");
   }
   write_at_ = now + (conflict ? Millis(0) : Millis(300));
-  // All of it again, each piece after a fresh look at what it guards.
-  if (batch->types) types_dirty_ = true;
+  // Nothing of it was carried out in a conflict, and what it met is named: a job that was cancelled
+  // as it ended, mostly. The rest is sent again at once, or one cancellation would hold up all ends
+  // and all machines' first starts. Without an answer each piece is looked at anew.
   const bool look = r.outcome != StateReply::Outcome::kRefused;
+  if (!look && !r.limited) write_tokens_ += static_cast<double>(batch->changes);
+  const std::set<std::string> failed(r.failed.begin(), r.failed.end());
+  const auto sound = [&](const std::string& key) {
+    return !look || (conflict && !failed.empty() && !failed.contains(key));
+  };
+  if (batch->types) types_dirty_ = true;
+  // In the order in which they were.
+  for (auto id = batch->finish.rbegin(); id != batch->finish.rend(); ++id) {
+    if (sound(keys::kJob + *id) && sound(keys::kEnd + *id)) finish_queue_.push_front(*id);
+  }
   for (const std::string& id : batch->finish) {
-    if (!look) {
-      finish_queue_.push_back(id);
-      continue;
-    }
+    if (sound(keys::kJob + id) && sound(keys::kEnd + id)) continue;
     StateOp get;
     get.key = keys::kJob + id;
     asker()->State(get, Guarded([this, id](Micros t, StateReply& g) {
@@ -261,9 +273,12 @@
                    }));
   }
   for (const Batch::Piece& piece : batch->pieces) {
-    piece.pages->Failed(piece.page, look, now);
-    if (look) LookAtPage(piece.pages, piece.page);
+    const bool again = sound(piece.page->key);
+    if (piece.pages == &fleet_pages_) fleet_at_ = now;  // it has still to be written
+    piece.pages->Failed(piece.page, !again, piece.urgent || !conflict, now);
+    if (!again) LookAtPage(piece.pages, piece.page);
   }
+  if (conflict && !failed.empty()) Write(now);
 }
 
 void Recorder::LookAtPage(Pages* pages, Pages::Page* page) {
--- a/src/core/reign/roster.cpp
+++ b/src/core/reign/roster.cpp
@@ -28,7 +28,7 @@
   m->recorded = true;
   m->resolved = false;
   m->stage = MachineStage::kUp;
-  m->heard_at = now;
+  m->heard_at = m->reported_at = now;
   m->alive_until = now + (settings().cancel_within - settings().worker_lease) +
                    settings().worker_lease.Scaled(1 + kClockDrift);
   unresolved_.push_back(m);
@@ -36,6 +36,7 @@
 }
 
 bool Roster::Held(const Job& job) const {
+  if (job.called_off) return true;
   // A job recorded after this term began can't have been started by an earlier leader: that one
   // starts nothing past its lease, which ended before.
   if (unresolved_.empty() || job.stamp > election()->term_stamp()) return false;
@@ -67,8 +68,10 @@
 }
 
 bool Roster::Ready(const Machine& m, Micros now) const {
+  // What answers direct calls and reports to nobody can be told to stop, not to start.
   return m.stage == MachineStage::kUp && m.type && m.resolved && !m.retiring && !m.gone_at &&
-         now - m.heard_at < options().silent_probe + settings().report_every && now >= m.hold_off;
+         now - m.reported_at < options().silent_probe + settings().report_every &&
+         now >= m.hold_off;
 }
 
 void Roster::Resolve(Micros now, Machine* m) {
@@ -194,7 +197,8 @@
   if (r.session != m->session) m->checkin_seq = 0;
   m->session = r.session;
   m->seq = r.seq;
-  m->heard_at = last_heard_ = now;
+  m->heard_at = now;
+  if (checkin) m->reported_at = last_reported_ = now;
   if (m->endpoint.empty()) m->endpoint = r.endpoint;
   if (m->type_name.empty()) {
     m->type_name = r.type;
@@ -323,9 +327,9 @@
 }
 
 bool Roster::Deaf(Micros now) const {
-  if (up_ == 0 || last_heard_.count < 0 || now < patient_until_) return false;
+  if (up_ == 0 || last_reported_.count < 0 || now < patient_until_) return false;
   constexpr int kSurely = 8;  // reports that should have come in meanwhile
-  return now - last_heard_ >
+  return now - last_reported_ >
          std::max(Seconds(4), settings().report_every.Scaled(1.0 * kSurely / up_));
 }
 
@@ -360,7 +364,7 @@
   // ended before the state service has confirmed its lease anew, and lets them speak first.
   const bool holds = election()->MayStart(now);
   const bool may_give_up = now >= patient_until_;
-  int heard = 0, up = 0;
+  int heard = 0, reported = 0, up = 0;
   for (auto& [id, m] : machines_) {
     if (!m->type) {
       auto it = types().find(m->type_name);
@@ -372,11 +376,14 @@
     if (m->stage != MachineStage::kUp) continue;
     ++up;
     heard += now - m->heard_at < options().silent_probe;
+    reported += now - m->reported_at < options().silent_probe + settings().report_every;
   }
   up_ = up;
   int probes = AskUnresolved(now);
   // Where most are silent the fault is likely ours, and returning them would lose everything.
   const bool ours = heard * 2 < up;
+  // Two leases and more: whatever it held has ended, and it can be given nothing.
+  const Micros mute = options().silent_return + settings().worker_lease.Scaled(2);
   for (auto& [id, ptr] : machines_) {
     Machine* m = ptr.get();
     if (!m->held_checkins.empty() && now - m->held_since > Millis(1500))
@@ -422,6 +429,10 @@
       GiveBack(now, m, was_heard ? "silent" : "never heard in this term");
       continue;
     }
+    if (may_give_up && reported * 2 >= up && now - m->reported_at > mute) {
+      GiveBack(now, m, "answers, but reports to nobody");
+      continue;
+    }
     if (m->gone_at) {
       std::map<std::string, Job*> saved_whole;  // by id
       bool halts = false;
--- a/src/core/reign/roster.h
+++ b/src/core/reign/roster.h
@@ -35,9 +35,10 @@
   void Awoke(Micros now);
 
   bool Ready(const Machine& m, Micros now) const;  // may be given work
-  // The job may still run on a machine that has not answered this term.
+  // The job may still run on a machine that has not answered this term, or is being called off.
   bool Held(const Job& job) const;
-  // Machines were heard in this term, and for so long none was that it can't be chance.
+  // Machines reported in this term, and for so long none did that it can't be chance. Answers to
+  // direct calls don't count: they come though the workers can't open a connection to here.
   bool Deaf(Micros now) const;
   // Given back, and may still be heard of.
   bool Buried(const std::string& id) const { return tombstones_.contains(id); }
@@ -54,9 +55,9 @@
   Machines machines_;
   std::map<std::string, Micros> tombstones_;
   std::vector<Machine*> unresolved_;
-  int up_ = 0;             // machines that are up, as of the last tick
-  Micros last_heard_{-1};  // of any machine in this term
-  Micros patient_until_;   // no machine is given up before, nor the place
+  int up_ = 0;                // machines that are up, as of the last tick
+  Micros last_reported_{-1};  // by any machine in this term
+  Micros patient_until_;      // no machine is given up before, nor the place
 };
 
 }  // namespace badgershore
--- a/src/core/reign/supervisor.cpp
+++ b/src/core/reign/supervisor.cpp
@@ -18,6 +18,7 @@
 // Everything that a job's next step can hang on, in the order in which it would be met.
 std::string Supervisor::WhyItWaits(Micros now, const Job& job) const {
   if (job.finishing) return "all done, its end waits to be written";
+  if (job.called_off) return "its cancellation is being recorded";
   if (roster().Held(job))
     return Number(static_cast<int64_t>(roster().unresolved().size())) + " machines unresolved";
   if (!election()->MayStart(now)) return "the lease does not hold";
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -99,7 +99,7 @@
   {
     cereal::PortableBinaryOutputArchive ar(out);
     // What came with later versions stands at the end: an earlier one doesn't read it.
-    ar(note, note.hears_workers);
+    ar(note, note.hears_workers, note.calls_off);
   }
   return Framed(out.str(), 0);
 }
@@ -107,15 +107,18 @@
 std::optional<PeerNote> Decode(std::string_view body) {
   std::istringstream in{std::string(body)};
   PeerNote note;
-  bool whole = false;
+  int parts = 0;  // one for each version that added something
   try {
     cereal::PortableBinaryInputArchive ar(in);
     ar(note);
-    whole = true;
+    ++parts;
     ar(note.hears_workers);
+    ++parts;
+    ar(note.calls_off);
   } catch (const std::exception&) {
-    if (!whole) return std::nullopt;
-    note.hears_workers = false;  // of an earlier version
+    if (parts == 0) return std::nullopt;
+    if (parts == 1) note.hears_workers = false;
+    note.calls_off.clear();
   }
   return note;
 }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -77,6 +77,8 @@
   std::string problem_;
 };
 
+// Only what may be null (builds, yard, dueS) may be absent. What is recorded already is read by
+// records.cpp, whatever it lacks.
 JobSpec ReadJob(const Value& v, Checker* c) {
   JobSpec s;
   s.lane = c->Name("lane");
@@ -90,9 +92,7 @@
   s.tasks = c->Whole("legs", 1, 100000);
   // Rounded up: what a task takes is never less than it says.
   s.need.cpu = static_cast<int64_t>(std::ceil(c->Amount("cpus", 0, 1e6) * 1000 - 1e-6));
-  if (Find(v, "accelerators")) {
-    s.need.gpu = static_cast<int64_t>(std::ceil(c->Amount("accelerators", 0, 1e6) * 1000 - 1e-6));
-  }
+  s.need.gpu = static_cast<int64_t>(std::ceil(c->Amount("accelerators", 0, 1e6) * 1000 - 1e-6));
   s.need.mem = static_cast<int64_t>(std::ceil(c->Amount("memGb", 0, 1e7) * 1000 - 1e-6));
   s.image = c->Name("kit");
   s.image_gb = c->Amount("imageGb", 0, 1e6);
@@ -111,12 +111,12 @@
     }
   }
   if (Find(v, "yard")) s.zone = c->Name("yard");
-  if (Find(v, "samePlace")) s.same_zone = c->Truth("samePlace");
-  if (Find(v, "spread")) s.spread = c->Truth("spread");
-  if (Find(v, "loaners")) s.spot_ok = c->Truth("loaners");
+  s.same_zone = c->Truth("samePlace");
+  s.spread = c->Truth("spread");
+  s.spot_ok = c->Truth("loaners");
   s.estimate = Seconds(c->Amount("expectS", 0, kSpanLimit));
-  if (Find(v, "stashEveryS")) s.checkpoint_every = Seconds(c->Amount("stashEveryS", 0, kSpanLimit));
-  if (Find(v, "stashS")) s.save_time = Seconds(c->Amount("stashS", 0, kSpanLimit));
+  s.checkpoint_every = Seconds(c->Amount("stashEveryS", 0, kSpanLimit));
+  s.save_time = Seconds(c->Amount("stashS", 0, kSpanLimit));
   if (Find(v, "dueS")) s.due = Seconds(c->Amount("dueS", 0, kSpanLimit));
   return s;
 }
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -284,6 +284,7 @@
       note.leader = w.Text("leader", "m-0");
       note.state_ok = w.Has("state");
       note.hears_workers = w.Has("hears");
+      if (w.named.contains("calls_off")) note.calls_off = {w.Text("calls_off")};
       core_->OnPeer(now_, note);
       return Pump();
     }
