A recorded cancellation is told to the leader, which halts at once

Starts after a confirmed cancellation were left where the leader can't read what another node recorded (refused alone, work that changes hands): images under way were fetched, and the tasks began. The node that recorded it says so, and the leader ends the job there and then: an end never changes, so it may be acted on however late its word comes.

--- a/src/core/desk/controller.cpp
+++ b/src/core/desk/controller.cpp
@@ -30,7 +30,8 @@
   Frontdesk::Facts facts;
   facts.never_runs = [this](const JobSpec& s) { return NeverRuns(s); };
   facts.knows_types = [this] { return TypesKnown(); };
-  facts.calls_off = [this](Micros now, const std::string& job) { CallOff(now, job); };
+  facts.calls_off = [this](Micros now, const std::string& job) { CallOff(now, job, false); };
+  facts.called_off = [this](Micros now, const std::string& job) { CallOff(now, job, true); };
   facts.digest = [this](const std::string& job) { return DigestOf(job); };
   frontdesk_ = std::make_unique<Frontdesk>(&asker_, std::move(facts));
 }
@@ -208,10 +209,10 @@
   return note;
 }
 
-void Controller::CallOff(Micros now, const std::string& job) {
-  if (leader_) return leader_->CallOff(now, job);
+void Controller::CallOff(Micros now, const std::string& job, bool recorded) {
+  if (leader_) return recorded ? leader_->CalledOff(now, job) : leader_->CallOff(now, job);
   PeerNote note = NoteOf(now);
-  note.calls_off.push_back(job);
+  (recorded ? note.called_off : note.calls_off).push_back(job);
   asker_.out.notes.push_back(std::move(note));
 }
 
@@ -312,6 +313,7 @@
   }
   if (leader_) {
     for (const std::string& job : note.calls_off) leader_->CallOff(now, job);
+    for (const std::string& job : note.called_off) leader_->CalledOff(now, job);
   }
   peers_[note.from] = Peer{now, note};
   if (note.leader == note.from && note.term >= digest_term_) {
--- a/src/core/desk/controller.h
+++ b/src/core/desk/controller.h
@@ -54,7 +54,7 @@
   std::string LeaderName(Micros now) const;
   void GiveWay(Micros now);
   PeerNote NoteOf(Micros now) const;
-  void CallOff(Micros now, const std::string& job);
+  void CallOff(Micros now, const std::string& job, bool recorded);
 
   PlatformSettings settings_;
   Options options_;
--- a/src/core/desk/frontdesk.cpp
+++ b/src/core/desk/frontdesk.cpp
@@ -118,10 +118,11 @@
     op.guards = {{keys::kJob + id, job.entries[0].stamp}, {keys::kEnd + id, 0}};
     const EndRecord end{true, 0};
     op.changes = {{keys::kEnd + id, false, end, 0}, {keys::kJob + id, true, {}, 0}};
-    asker_->State(op, [=, this](Micros, StateReply& r) {
+    asker_->State(op, [=, this](Micros t, StateReply& r) {
       if (r.ok()) {
         Remember(id, end);
         AnswerFinal(token, id);
+        facts_.called_off(t, id);
       } else if (r.outcome == StateReply::Outcome::kConflict && rounds > 1) {
         Withdraw(token, id, rounds - 1);  // it ended at the same moment: read which way
       } else {
--- a/src/core/desk/frontdesk.h
+++ b/src/core/desk/frontdesk.h
@@ -25,6 +25,7 @@
     std::function<bool()> knows_types;
     // The job's cancellation is about to be recorded.
     std::function<void(Micros, const std::string&)> calls_off;
+    std::function<void(Micros, const std::string&)> called_off;  // and is recorded
     // Display counts of a live job.
     std::function<JobDigest(const std::string&)> digest;
   };
--- a/src/core/model/effects.h
+++ b/src/core/model/effects.h
@@ -157,6 +157,8 @@
   // Jobs whose cancellation is being recorded there: nothing of them is worth starting. A hint;
   // lost, late or repeated it does no harm.
   std::vector<std::string> calls_off;
+  // Jobs whose cancellation is durable. Ends never change, so this is good however late it comes.
+  std::vector<std::string> called_off;
 };
 
 // What a leader tells another cell's: to one address, or to all of the cell's.
--- a/src/core/reign/leader.h
+++ b/src/core/reign/leader.h
@@ -43,6 +43,11 @@
   void Dismiss();
   void OnCell(Micros now, const limits::CellNote& note) { rights_.OnNote(now, note); }
   void CallOff(Micros now, const std::string& job) { book_.CallOff(now, job); }
+  // It is recorded: halts leave at once, though this leader may be the one that can't read it.
+  void CalledOff(Micros now, const std::string& job) {
+    book_.CallOff(now, job);
+    book_.EndJob(now, job);
+  }
   const Rights& rights() const { return rights_; }
   bool recording() const { return recorder_.writing(); }
   bool ready() const { return ready_; }
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -99,7 +99,7 @@
   {
     cereal::PortableBinaryOutputArchive ar(out);
     // What came with later versions stands at the end: an earlier one doesn't read it.
-    ar(note, note.hears_workers, note.calls_off);
+    ar(note, note.hears_workers, note.calls_off, note.called_off);
   }
   return Framed(out.str(), 0);
 }
@@ -114,11 +114,12 @@
     ++parts;
     ar(note.hears_workers);
     ++parts;
-    ar(note.calls_off);
+    ar(note.calls_off, note.called_off);
   } catch (const std::exception&) {
     if (parts == 0) return std::nullopt;
     if (parts == 1) note.hears_workers = false;
     note.calls_off.clear();
+    note.called_off.clear();
   }
   return note;
 }
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -286,6 +286,7 @@
       note.state_ok = w.Has("state");
       note.hears_workers = w.Has("hears");
       if (w.named.contains("calls_off")) note.calls_off = {w.Text("calls_off")};
+      if (w.named.contains("called_off")) note.called_off = {w.Text("called_off")};
       core_->OnPeer(now_, note);
       return Pump();
     }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -221,7 +221,7 @@
 }
 
 TEST(Peers, NotesComeBackAndNoiseDoesNot) {
-  PeerNote note{"m-1", 7, "m-2", true, {{"job-1", 3, 4}}, true, {"job-9"}};
+  PeerNote note{"m-1", 7, "m-2", true, {{"job-1", 3, 4}}, true, {"job-9"}, {"job-8"}};
   const std::string frame = peer::Encode(note);
   const auto head = peer::ReadHead(frame);
   ASSERT_TRUE(head);
@@ -235,7 +235,8 @@
   EXPECT_EQ(back->calls_off, std::vector<std::string>{"job-9"});
   // Notes of the versions before are good still: one ended with the jobs, one with who hears
   // workers.
-  const size_t calls_off = 8 + 8 + 5;  // how many, how long, and the name
+  EXPECT_EQ(back->called_off, std::vector<std::string>{"job-8"});
+  const size_t calls_off = 2 * (8 + 8 + 5);  // twice: how many, how long, and the name
   const auto first = peer::Decode(std::string_view(frame).substr(4, head->size - calls_off - 1));
   ASSERT_TRUE(first);
   EXPECT_FALSE(first->hears_workers);
@@ -244,6 +245,7 @@
   ASSERT_TRUE(second);
   EXPECT_TRUE(second->hears_workers);
   EXPECT_TRUE(second->calls_off.empty());
+  EXPECT_TRUE(second->called_off.empty());
   EXPECT_FALSE(peer::Decode(std::string_view(frame).substr(4, head->size / 2)));
   EXPECT_FALSE(peer::ReadHead(std::string("\xff\xff\xff\xff", 4)));
 }
