--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -161,6 +161,35 @@
   User(Kind::kWithdraws, "j").Told("j", "withdrawn").At(51).Task(Kind::kTaskOff, "j", 0, "m1");
   EXPECT_EQ(Found(), "ran_cancelled");
 }
+// Counted, however soon it is: what was under way, and what nobody had been told of.
+TEST_F(Rules, CountsStartsAfterACancellation) {
+  At(0).Job("job-1").Machine("n-1", "a").Task(Kind::kTaskOn, "job-1", 0, "n-1");
+  User(Kind::kWithdraws, "job-1").At(1).Told("job-1", "withdrawn");
+  EXPECT_EQ(checker.started_cancelled(), 0);
+  At(1.01).Task(Kind::kTaskOn, "job-1", 1, "n-1");
+  EXPECT_EQ(checker.started_cancelled(), 1);
+}
+
+TEST_F(Rules, AcceptedThoughItCannotRun) {
+  JobFacts facts;
+  facts.cannot_run = true;
+  At(0).Job("job-1", facts);
+  ASSERT_EQ(checker.broken().size(), 1u);
+  EXPECT_EQ(checker.broken()[0].rule, "accepted");
+}
+
+// A question that was sent before the newer answer came: not broken, and counted.
+TEST_F(Rules, CountsAnswersThatCrossed) {
+  At(0).Job("job-1").User(Kind::kWithdraws, "job-1").At(2).Told("job-1", "withdrawn");
+  At(2.5).Told("job-1", "pending", 1.5);
+  EXPECT_EQ(checker.crossed(), 1);
+  EXPECT_TRUE(checker.broken().empty());
+  At(3).Told("job-1", "pending", 2.6);
+  EXPECT_EQ(checker.crossed(), 1);
+  ASSERT_EQ(checker.broken().size(), 1u);
+  EXPECT_EQ(checker.broken()[0].rule, "went_back");
+}
+
 TEST_F(Rules, Invented) {
   Told("nobodys", "pending");
   EXPECT_EQ(Found(), "invented");
@@ -273,6 +302,50 @@
                            return name;
                          });
 
+// Looked at every 5 s: 90 s beside the same machine with room.
+class LeftWork : public testing::Test {
+ public:
+  int After(int seconds) {
+    size_t left = 0;
+    for (int s = 0; s <= seconds; s += 5, now = now + Seconds(5)) {
+      left += waiting.See(now, jobs, machines).size();
+    }
+    return static_cast<int>(left);
+  }
+  Micros now = Seconds(1);
+  Waiting waiting;
+  std::vector<Waiting::Job> jobs{{"job-1", {2000, 0, 1000}, 1, 0, false, false, true}};
+  std::vector<Waiting::Machine> machines{{"n-1", "a", {4000, 0, 8000}, false}};
+};
+
+TEST_F(LeftWork, IsFoundAfterNinetySeconds) {
+  EXPECT_EQ(After(85), 0);
+  EXPECT_EQ(After(0), 1);
+}
+TEST_F(LeftWork, IsNoneWhileItsTeamIsAtItsLimitOrTasksStart) {
+  jobs[0].under_limit = false;
+  EXPECT_EQ(After(200), 0);
+  jobs[0].under_limit = true;
+  EXPECT_EQ(After(80), 0);
+  jobs[0].starts = 1;
+  EXPECT_EQ(After(85), 0);
+}
+TEST_F(LeftWork, IsNoneWhereNoMachineHadRoomAllTheWhile) {
+  EXPECT_EQ(After(60), 0);
+  machines[0].id = "n-2";  // another one has room now
+  EXPECT_EQ(After(85), 0);
+  machines[0].spot = true;
+  EXPECT_EQ(After(200), 0);
+}
+TEST_F(LeftWork, OfAGangNeedsRoomForAllOfItInOneZone) {
+  jobs[0].tasks = 3;
+  jobs[0].same_zone = true;
+  machines.push_back({"n-2", "b", {4000, 0, 8000}, false});
+  EXPECT_EQ(After(200), 0);
+  machines.push_back({"n-3", "b", {2000, 0, 8000}, false});
+  EXPECT_EQ(After(100), 1);
+}
+
 // nights/ holds only nights that `run` plays, each among those above; the site of `up` is built in.
 // Guards against: a site kept there that no run could finish.
 TEST(Night, EveryKeptOneIsPlayedAboveAndTheSmallSiteIsGood) {
