--- a/src/core/reign/gangs.cpp
+++ b/src/core/reign/gangs.cpp
@@ -16,7 +16,7 @@
 
 // When a gang that has not begun may go before its turn, as a part of the age limit; and so many
 // others of its team, or so long, come between two of them.
-constexpr double kPressAfter = 0.75;
+constexpr double kPressAfter = 1.25;
 constexpr int kOthersBetween = 2;
 constexpr Micros kPressEvery = Seconds(30);
 
@@ -81,7 +81,7 @@
 }
 
 // Smallest first, and those that are late after those that are not, leaves the largest waiting for
-// as long as others come. Of a team's gangs that have not begun after most of the age limit the one
+// as long as others come. Of a team's gangs that have not begun well past the age limit the one
 // with the most work goes first, but not before some others have gone: were it all of them, on a
 // day of too many every one would be late.
 const Job* Gangs::Pressed(Micros now, int team, const std::vector<Job*>& gangs) {
