--- a/src/agent/core/agent.h
+++ b/src/agent/core/agent.h
@@ -73,6 +73,8 @@
   uint64_t session() const { return session_; }
   uint64_t baton() const { return baton_; }
   size_t tasks() const { return tasks_.size(); }
+  bool noticed() const { return notice_at_.has_value(); }
+  Resources Free() const { return settings_.size - Used(); }
 
  private:
   struct Held {
--- a/src/config/night.cpp
+++ b/src/config/night.cpp
@@ -83,15 +83,18 @@
 Trouble ReadTrouble(YamlMap m, Micros end) {
   Trouble t;
   t.kind = static_cast<Trouble::Kind>(m.OneOf(
-      "kind", {"cloud_down",  "cloud_empty",  "grants_vanish", "boots_never",   "spot_wave",
-               "state_down",  "state_mute",   "state_late",    "state_restart", "disk_full",
-               "kill",        "cut",          "machines_fail", "machines_die",  "freeze",
-               "restore",     "limit",        "retire",        "state_refuses", "state_slow",
-               "late_writes", "late_reports", "machines_deaf"}));
+      "kind",
+      {"cloud_down",  "cloud_empty",   "grants_vanish", "boots_never",   "spot_wave",
+       "state_down",  "state_mute",    "state_late",    "state_restart", "disk_full",
+       "kill",        "cut",           "machines_fail", "machines_die",  "freeze",
+       "restore",     "limit",         "retire",        "state_refuses", "state_slow",
+       "late_writes", "late_reports",  "machines_deaf", "machines_mute", "machines_hang",
+       "cancel_now",  "cancel_at_end", "close_looks",   "odd_requests",  "reports_for_next"}));
   t.at = m.Span("at_s", 0, end.ToSeconds());
   t.span = m.Span("for_s", 0, end.ToSeconds(), 0);
   t.share = m.Number("share", 0, 1, 1);
   t.cell = m.Text("cell", "");
+  if (t.kind == Trouble::Kind::kCancelNow) t.count = static_cast<int>(m.Whole("count", 1, 10000));
   if (t.kind == Trouble::Kind::kKill || t.kind == Trouble::Kind::kCut ||
       t.kind == Trouble::Kind::kFreeze || t.kind == Trouble::Kind::kRetire ||
       t.kind == Trouble::Kind::kStateRefuses) {
--- a/src/config/night.h
+++ b/src/config/night.h
@@ -56,11 +56,20 @@
     kStateSlow,    // `share` of what it is asked and says takes up to 6 s longer
     kLateWrites,   // `share` of changes: no answer, carried out 2 to 12 s later
     kLateReports,  // of `share` of the reports a copy arrives again, from 2 s to over a lease later
-    kDeaf          // `share` of the machines: what they say arrives, what is said to them is lost
+    kDeaf,         // `share` of the machines: what they say arrives, what is said to them is lost
+    kMute,         // `share` of the machines: they reach no controller, direct commands reach them
+    kHang,       // `share` of the machines: nothing happens on them; what was sent comes afterwards
+    kCancelNow,  // users call off `count` jobs that run; up to eight of their machines hang, `span`
+    kCancelAtEnd,    // of `share` of the jobs whose last task completes, at that moment
+    kCloseLooks,     // users ask at all nodes within milliseconds of an answer, and submit again
+    kOddRequests,    // repeated submissions, cancellations of what is over, jobs that can't run
+    kReportsForNext  // of `share` of the reports a copy comes to all nodes once a new leader has
+                     // begun
   };
   Kind kind = Kind::kCloudDown;
   Micros at, span;
   double share = 1;
+  int count = 0;
   std::string who, whom;
   std::string cell;      // where; empty: in the first, or in all for a limit
   std::string team;      // kLimit: every controller is restarted with another limit of this team
--- a/src/rehearsal/history.h
+++ b/src/rehearsal/history.h
@@ -16,6 +16,7 @@
   int64_t cpu_m = 0, gpu_m = 0;  // of a task, in thousandths
   std::string zone;              // empty: any
   bool same_zone = false, spread = false, spot_ok = false;
+  bool cannot_run = false;  // fits no machine, or lacks a field
   int64_t submitted_us = 0;
 };
 
@@ -66,6 +67,15 @@
   const std::vector<Broken>& broken() const { return broken_; }
   // The longest that a task of a cancelled job was on a machine after its user was told.
   double latest_cancelled_s() const { return static_cast<double>(latest_cancelled_us_) / 1e6; }
+  // Tasks that started after their user was told of the cancellation, however soon.
+  int started_cancelled() const { return started_cancelled_; }
+  // Answers that are older than one which this user had got before they came, though both questions
+  // had been sent by then: no rule speaks of those.
+  int crossed() const { return crossed_; }
+  int64_t UsedCpu(const std::string& team) const {
+    auto it = used_.find(team);
+    return it == used_.end() ? 0 : it->second.first;
+  }
   // Accepted jobs and their last known phase: done, withdrawn or open.
   std::map<std::string, std::string> FinalStates() const;
 
@@ -96,6 +106,7 @@
   std::map<std::string, std::pair<int64_t, int64_t>> used_;
   std::set<std::string> withdrawn_;
   int64_t others_answered_at_ = 0, latest_cancelled_us_ = 0;
+  int started_cancelled_ = 0, crossed_ = 0;
   bool any_started_ = false;
   std::vector<Broken> broken_;
 };
--- /dev/null
+++ b/src/rehearsal/machines.cpp
@@ -0,0 +1,192 @@
+// Its machines: the agent as it ships, images that are fetched, tasks that run.
+#include <algorithm>
+
+#include "rehearsal/world.h"
+
+namespace badgershore::rehearsal {
+
+void World::MachineUp(const Cloud::Machine& m) {
+  Worker& w = workers_[m.id];
+  w.record = {m.id, m.endpoint, m.type, m.zone, m.spot};
+  agent::Settings s;
+  s.machine = w.record;
+  for (const NightType& t : night_.types) {
+    if (t.type.name != m.type) continue;
+    s.size = t.type.size;
+    w.fetch_gb_per_s = t.type.fetch_gb_per_s * (0.7 + 0.6 * Chance());
+  }
+  for (size_t i = 0; i < nodes_.size(); ++i) s.controllers.push_back(NodeName(i));
+  s.report_every = night_.site.report_every;
+  s.lease = night_.site.worker_lease;
+  s.gang_wait = night_.site.gang_wait;
+  w.agent = std::make_unique<agent::Agent>(s, clock_.random(), now_);
+  Event e;
+  e.kind = Event::Kind::kMachineUp;
+  e.machine = m.id;
+  e.text = m.zone;
+  e.number = m.spot;
+  See(e);
+  w.agent->Tick(now_);
+  PumpMachine(m.id);
+}
+
+void World::MachineGone(const std::string& id) {
+  auto it = workers_.find(id);
+  if (it == workers_.end()) return;
+  const std::set<TaskKey> on = it->second.on;
+  for (const TaskKey& task : on) {
+    TaskOff(id, task);
+    work_.Kill(task);
+  }
+  workers_.erase(id);
+  if (outside_) outside_->CloseMachine(id);
+  Event e;
+  e.kind = Event::Kind::kMachineGone;
+  e.machine = id;
+  See(e);
+}
+
+void World::TaskOff(const std::string& machine, const TaskKey& task) {
+  if (workers_.at(machine).on.erase(task) == 0) return;
+  Event e;
+  e.kind = Event::Kind::kTaskOff;
+  e.job = task.ref.job;
+  e.task = task.ref.task;
+  e.machine = machine;
+  e.number = task.attempt;
+  See(e);
+}
+
+Micros World::HungUntil(const std::string& id) const {
+  auto it = workers_.find(id);
+  return it == workers_.end() ? Micros{} : it->second.hung_until;
+}
+
+// What runs there completes at its time all the same, though nobody hears of it before the machine
+// goes on; its lease is looked at first then, as the agent would.
+void World::Hang(const std::string& id, Micros span) {
+  Worker& w = workers_.at(id);
+  if (w.hung_until > now_) return;
+  w.hung_until = now_ + span;
+  Note("hangs " + id);
+  Later(w.hung_until, [this, id, agent = w.agent.get()] {
+    auto it = workers_.find(id);
+    if (it == workers_.end() || it->second.agent.get() != agent) return;
+    agent->Tick(now_);
+    PumpMachine(id);
+  });
+}
+
+void World::PumpMachine(const std::string& id) {
+  Worker& w = workers_.at(id);
+  const auto alive = [this, id, agent = w.agent.get()](auto then) {
+    return [this, id, agent, then] {
+      const auto now = [this, id, agent, then] {
+        auto it = workers_.find(id);
+        if (it == workers_.end() || it->second.agent.get() != agent) return;
+        then(agent);
+        PumpMachine(id);
+      };
+      if (HungUntil(id) > now_) return Later(HungUntil(id), now);
+      now();
+    };
+  };
+  if (w.hung_until > now_) return;
+  using Kind = agent::Command::Kind;
+  for (agent::Command& c : w.agent->Take()) {
+    switch (c.kind) {
+      case Kind::kReport: {
+        wire::Call call{"POST", "/checkin", wire::FormatReport(c.report), Seconds(4)};
+        Send(
+            id, NodeName(c.controller), std::move(call),
+            [this, alive, report = c.report_id, to = c.controller](int status,
+                                                                   const std::string& body) {
+              if (status == 200) seen_leader_ = static_cast<int>(to);
+              const CheckinAnswer a = wire::ParseCheckinAnswer(std::max(status, 0), body);
+              alive([this, report, a](agent::Agent* agent) { agent->OnAnswer(now_, report, a); })();
+            });
+        break;
+      }
+      case Kind::kDescribe:
+        if (outside_ && !work_.Find(c.text)) {  // not one of the night's: someone else's job
+          outside_->Describe(c.text, [this, alive, job = c.text](std::optional<JobSpec> spec) {
+            if (spec && !work_.Find(job)) work_.AddJob(*spec, spec->estimate, 0);
+            alive([this, job, spec](agent::Agent* agent) {
+              agent->OnDescription(now_, job, spec);
+            })();
+          });
+          break;
+        }
+        Later(now_ + Millis(5), alive([this, job = c.text](agent::Agent* agent) {
+                const JobSpec* spec = work_.Find(job);
+                agent->OnDescription(now_, job,
+                                     spec ? std::optional<JobSpec>(*spec) : std::nullopt);
+              }));
+        break;
+      case Kind::kFetch: {
+        const uint64_t serial = ++clock_.order;
+        w.fetches[c.text] = serial;
+        Later(now_ + Seconds(c.gb / w.fetch_gb_per_s),
+              alive([this, id, image = c.text, serial](agent::Agent* agent) {
+                if (workers_.at(id).fetches[image] == serial) agent->OnImage(now_, image);
+              }));
+        break;
+      }
+      case Kind::kGiveUp:
+        w.fetches.erase(c.text);
+        break;
+      case Kind::kLaunch: {
+        w.on.insert(c.task);
+        Event e;
+        e.kind = Event::Kind::kTaskOn;
+        e.job = c.task.ref.job;
+        e.task = c.task.ref.task;
+        e.machine = id;
+        e.number = c.task.attempt;
+        See(e);
+        if (jobs_.contains(e.job)) ++jobs_.at(e.job).starts;
+        // Not from within: a gang that is complete calls its members' agents.
+        Later(now_, [this, id, task = c.task] {
+          auto it = workers_.find(id);
+          if (it == workers_.end() || !it->second.on.contains(task)) return;
+          work_.Launch(id, task, it->second.sick);
+        });
+        break;
+      }
+      case Kind::kSave:
+        Later(now_, [this, id, task = c.task] {
+          auto it = workers_.find(id);
+          if (it != workers_.end() && it->second.on.contains(task)) work_.Save(id, task);
+        });
+        break;
+      case Kind::kKill:
+        TaskOff(id, c.task);
+        work_.Kill(c.task);
+        break;
+    }
+  }
+  const Micros next = std::max(w.agent->NextDeadline(), now_ + Micros{1});
+  if (next >= w.armed) return;
+  w.armed = next;
+  Later(next, alive([this, id, next](agent::Agent* agent) {
+          Worker& worker = workers_.at(id);
+          if (worker.armed == next) worker.armed = kNever;
+          agent->Tick(now_);
+        }));
+}
+
+void World::ServeMachine(const std::string& machine, uint64_t id, const wire::Call& call) {
+  auto it = workers_.find(machine);
+  if (it == workers_.end()) return;  // silence
+  if (it->second.hung_until > now_) {
+    return Later(it->second.hung_until,
+                 [this, machine, id, call] { ServeMachine(machine, id, call); });
+  }
+  const std::optional<DirectOp> op = wire::ParseDirect(call.body);
+  if (!op) return Respond(id, 400, "{}");
+  const int status = it->second.agent->OnDirect(now_, op->baton, op->session, op->orders);
+  Respond(id, status, wire::FormatReport(it->second.agent->Status()));
+  PumpMachine(machine);
+}
+
+}  // namespace badgershore::rehearsal
