--- a/src/config/night.cpp
+++ b/src/config/scenario.cpp
@@ -1,4 +1,4 @@
-#include "config/night.h"
+#include "config/scenario.h"
 
 #include <algorithm>
 
@@ -30,8 +30,8 @@
   return std::llround(m->Number(key, 0, 1e6, otherwise) * 1000);
 }
 
-NightType ReadType(YamlMap m) {
-  NightType t;
+MachineOffer ReadType(YamlMap m) {
+  MachineOffer t;
   t.type.name = m.Text("name");
   t.type.size = {Milli(&m, "cpus", 1), Milli(&m, "gpus", 0), Milli(&m, "mem_gb", 1)};
   t.type.price = m.Number("price", 0.0001, 1e6, 1);
@@ -47,8 +47,8 @@
   return t;
 }
 
-NightClass ReadClass(YamlMap m, const PlatformSettings& site) {
-  NightClass c;
+JobClass ReadClass(YamlMap m, const PlatformSettings& site) {
+  JobClass c;
   c.spec.lane = m.Text("name");
   c.spec.team = m.Text("team", site.teams.at(0).name);
   if (!site.FindTeam(c.spec.team)) m.Fail("team", "one of the site's teams");
@@ -117,13 +117,13 @@
 
 }  // namespace
 
-Night LoadNight(const std::string& file) { return ParseNight(ReadFile(file), file); }
+Scenario LoadScenario(const std::string& file) { return ParseScenario(ReadFile(file), file); }
 
-Night SmallSite() { return ParseNight(kSmallSite, "up.yaml"); }
+Scenario SmallSite() { return ParseScenario(kSmallSite, "up.yaml"); }
 
-Night ParseNight(const std::string& text, const std::string& file) {
+Scenario ParseScenario(const std::string& text, const std::string& file) {
   YamlMap top = YamlMap::Parse(text, file);
-  Night n;
+  Scenario n;
   const size_t slash = file.rfind('/');
   n.name = file.substr(slash == std::string::npos ? 0 : slash + 1);
   n.name = n.name.substr(0, n.name.rfind('.'));
@@ -168,7 +168,7 @@
   });
   top.Each("machine_types", [&](YamlMap m) { n.types.push_back(ReadType(std::move(m))); });
   if (n.types.empty()) top.Fail("machine_types", "at least one type");
-  for (NightType& t : n.types) {
+  for (MachineOffer& t : n.types) {
     if (t.type.zones.empty()) t.type.zones = s.zones;
   }
   n.cells = top.Texts("cells");
@@ -185,7 +185,7 @@
   const auto known = [&](const std::string& cell) {
     return cell.empty() || std::find(n.cells.begin(), n.cells.end(), cell) != n.cells.end();
   };
-  for (const NightClass& c : n.classes) {
+  for (const JobClass& c : n.classes) {
     if (!known(c.cell)) top.Fail("classes", "`cell` to be one of `cells`, not " + c.cell);
   }
   for (const Trouble& t : n.troubles) {
--- a/src/config/night.h
+++ b/src/config/scenario.h
@@ -1,4 +1,4 @@
-// A night to rehearse, read from YAML: the site, what arrives, and what goes wrong when.
+// A scenario to rehearse, read from YAML: the site, what arrives, and what goes wrong when.
 #pragma once
 
 #include <string>
@@ -9,18 +9,18 @@
 
 namespace badgershore::config {
 
-struct NightType {
+struct MachineOffer {
   MachineType type;
   int capacity = 0, spot_capacity = 0, up = 0;
 };
-struct NightClass {
+struct JobClass {
   JobSpec spec;      // the id and the number of tasks are given by job
   std::string cell;  // where it arrives; empty: in the first
   int least_tasks = 1, most_tasks = 1, images = 1, at_start = 0;
   double per_minute = 0;
   Micros run;
   Micros from, until;  // those that do not come at the start come in between; until 0: to the end
-  // The night fails where a job of it starts, or is done, later than this after its submission.
+  // The scenario fails where a job of it starts, or is done, later than this after its submission.
   Micros start_within, done_within;  // 0: no bound
   double mistake = 0;                // so much of its tasks fails on every machine
   Micros withdrawn_after;            // since its submission, by its user; 0: not
@@ -31,8 +31,8 @@
 };
 struct Trouble {
   // A fault, from `at` for `span`; `who` and `whom` name hosts: all, leader, followers (of a cut),
-  // node-0 .. node-2, state, cloud, users, machines or zone-NAME, and in a night of several cells
-  // cell-NAME.
+  // node-0 .. node-2, state, cloud, users, machines or zone-NAME, and in a scenario of several
+  // cells cell-NAME.
   enum class Kind {
     kCloudDown,
     kCloudEmpty,
@@ -76,24 +76,24 @@
   int64_t cpus_max = 0;  // thousandths
   bool resets = false;   // a cut that resets connections instead of holding back what they carry
 };
-struct Night {
+struct Scenario {
   std::string name, about;
   Micros duration, settle;
   PlatformSettings site;
   std::vector<std::string> cells;  // empty: one. Each has the machine types, and `up` of each
   double boot_spread = 0.4;
-  std::vector<NightType> types;
-  std::vector<NightClass> classes;
+  std::vector<MachineOffer> types;
+  std::vector<JobClass> classes;
   std::vector<Withdrawal> withdrawals;
   std::vector<std::string> either;  // jobs whose withdrawal races their end
   std::vector<Trouble> troubles;
 };
 
 // A config::Error names file, line and what was expected.
-Night LoadNight(const std::string& file);
+Scenario LoadScenario(const std::string& file);
 // The same from its text; `file` names it in errors.
-Night ParseNight(const std::string& text, const std::string& file);
+Scenario ParseScenario(const std::string& text, const std::string& file);
 // A small site on which nothing arrives but what its users submit.
-Night SmallSite();
+Scenario SmallSite();
 
 }  // namespace badgershore::config
--- a/src/programs/rehearse.cpp
+++ b/src/programs/rehearse.cpp
@@ -1,4 +1,4 @@
-// badgershore-rehearse: plays nights and says what they broke.
+// badgershore-rehearse: plays scenarios and says what they broke.
 #include <unistd.h>
 
 #include <atomic>
@@ -24,10 +24,10 @@
 namespace {
 
 using namespace badgershore;
-using config::Night;
+using config::Scenario;
 using rehearsal::Result;
 
-std::string g_nights;  // the folder of kept nights
+std::string g_scenarios;  // the folder of kept scenarios
 
 // The folder that this program is in has the others too.
 std::string ProgramFolder() {
@@ -35,18 +35,18 @@
 }
 
 // In a checkout it is here; beside an installed program where `cmake --install` lays it.
-std::string NightsFolder() {
-  const std::string installed = ProgramFolder() + "/../share/badgershore/nights";
-  return !std::filesystem::exists("nights") && std::filesystem::exists(installed) ? installed
-                                                                                  : "nights";
+std::string ScenariosFolder() {
+  const std::string installed = ProgramFolder() + "/../share/badgershore/scenarios";
+  return !std::filesystem::exists("scenarios") && std::filesystem::exists(installed) ? installed
+                                                                                     : "scenarios";
 }
 
-// A file, or the name of a kept night.
-std::string FileOf(const std::string& night) {
-  if (std::filesystem::exists(night)) return night;
-  const std::string kept = g_nights + "/" + night + ".yaml";
+// A file, or the name of a kept scenario.
+std::string FileOf(const std::string& scenario) {
+  if (std::filesystem::exists(scenario)) return scenario;
+  const std::string kept = g_scenarios + "/" + scenario + ".yaml";
   if (!std::filesystem::exists(kept)) {
-    throw config::Error(night + ": expected a file or a night kept in " + g_nights);
+    throw config::Error(scenario + ": expected a file or a scenario kept in " + g_scenarios);
   }
   return kept;
 }
@@ -58,8 +58,8 @@
 }
 
 // Jobs whose withdrawal races their end may be either.
-std::string FinalSha(const Night& night, Result r) {
-  for (const std::string& id : night.either) {
+std::string FinalSha(const Scenario& scenario, Result r) {
+  for (const std::string& id : scenario.either) {
     if (r.final_states.contains(id) && r.final_states[id] != "open") r.final_states[id] = "either";
   }
   return store::Sha256(FinalText(r));
@@ -71,11 +71,11 @@
   return v[std::min(v.size() - 1, static_cast<size_t>(q * static_cast<double>(v.size())))];
 }
 
-std::string Json(const Night& night, const Result& r, double wall_s, const char* time) {
+std::string Json(const Scenario& scenario, const Result& r, double wall_s, const char* time) {
   wire::Writer w;
-  w.Begin().Put("night", r.night).Put("seed", r.seed).Put("time", time);
+  w.Begin().Put("scenario", r.scenario).Put("seed", r.seed).Put("time", time);
   w.Key("jobs").Begin().Put("done", r.done).Put("withdrawn", r.withdrawn).Put("open", r.open).End();
-  w.Put("final_states_sha256", FinalSha(night, r));
+  w.Put("final_states_sha256", FinalSha(scenario, r));
   w.Put("history_sha256", store::Sha256(r.history));
   w.Key("broken").BeginList();
   for (const auto& b : r.broken) {
@@ -103,10 +103,10 @@
   return w.End().Done();
 }
 
-void Print(const Night& night, const Result& r, double wall_s) {
+void Print(const Scenario& scenario, const Result& r, double wall_s) {
   std::printf("%s, seed %llu: %d done, %d withdrawn, %d open; final states %.12s, history %.12s\n",
-              r.night.c_str(), static_cast<unsigned long long>(r.seed), r.done, r.withdrawn, r.open,
-              FinalSha(night, r).c_str(), store::Sha256(r.history).c_str());
+              r.scenario.c_str(), static_cast<unsigned long long>(r.seed), r.done, r.withdrawn,
+              r.open, FinalSha(scenario, r).c_str(), store::Sha256(r.history).c_str());
   for (const auto& [lane, waits] : r.waits) {
     std::printf("  %-20s %5zu jobs, done within %.0f s (half), %.0f s (90%%), %.0f s (99%%)\n",
                 lane.c_str(), waits.size(), Quantile(waits, 0.5), Quantile(waits, 0.9),
@@ -125,9 +125,9 @@
   if (r.broken.size() > 10) std::printf("  and %zu more\n", r.broken.size() - 10);
 }
 
-Result Play(const Night& night, uint64_t seed, double* wall_s) {
+Result Play(const Scenario& scenario, uint64_t seed, double* wall_s) {
   const auto start = std::chrono::steady_clock::now();
-  Result r = rehearsal::Play(night, seed);
+  Result r = rehearsal::Play(scenario, seed);
   *wall_s = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
   return r;
 }
@@ -140,12 +140,12 @@
   return name;
 }
 
-void CheckPlayable(const Night& night, const std::string& file) {
-  if (!night.cells.empty()) {
+void CheckPlayable(const Scenario& scenario, const std::string& file) {
+  if (!scenario.cells.empty()) {
     throw config::Error(file + ": several cells can be played in simulated time only");
   }
   using Kind = config::Trouble::Kind;
-  for (const auto& t : night.troubles) {
+  for (const auto& t : scenario.troubles) {
     if (t.kind == Kind::kStateDown || t.kind == Kind::kStateMute || t.kind == Kind::kStateLate ||
         t.kind == Kind::kDiskFull || t.kind == Kind::kCut) {
       throw config::Error(file + ": the trouble at " + std::to_string(t.at.ToSeconds()) +
@@ -155,14 +155,14 @@
 }
 
 // Real processes on loopback, in real time.
-Result PlayReal(const Night& night, const std::string& file, uint64_t seed, double* wall_s) {
-  CheckPlayable(night, file);
+Result PlayReal(const Scenario& scenario, const std::string& file, uint64_t seed, double* wall_s) {
+  CheckPlayable(scenario, file);
   const std::string dir = TemporaryFolder();
   Result result;
   std::string error;
   {
     io::Loop loop;
-    rehearsal::Site site(&loop, night, {ProgramFolder(), dir, "127.0.0.1:0", seed});
+    rehearsal::Site site(&loop, scenario, {ProgramFolder(), dir, "127.0.0.1:0", seed});
     const Micros start = io::Loop::Now();
     if (!site.Start([&] { loop.Stop(); }, &error)) throw config::Error(error);
     bool interrupted = false;
@@ -205,12 +205,12 @@
   }
 }
 
-int Up(const Night& night, const std::string& listen, const std::string& data) {
+int Up(const Scenario& scenario, const std::string& listen, const std::string& data) {
   const std::string dir = data.empty() ? TemporaryFolder() : data;
   int code = 0;
   {
     io::Loop loop;
-    rehearsal::Site site(&loop, night, {ProgramFolder(), dir, listen, 1});
+    rehearsal::Site site(&loop, scenario, {ProgramFolder(), dir, listen, 1});
     std::string error;
     if (!site.Start([&] { loop.Stop(); }, &error)) {
       std::fprintf(stderr, "badgershore-rehearse: %s\n", error.c_str());
@@ -225,43 +225,43 @@
   return code;
 }
 
-int RunNight(const std::string& file, uint64_t seed, bool real, const std::string& json,
-             const std::string& evidence) {
-  const Night night = config::LoadNight(file);
+int RunScenario(const std::string& file, uint64_t seed, bool real, const std::string& json,
+                const std::string& evidence) {
+  const Scenario scenario = config::LoadScenario(file);
   double wall_s = 0;
   const char* time = real ? "real" : "simulated";
-  const Result r = real ? PlayReal(night, file, seed, &wall_s) : Play(night, seed, &wall_s);
-  Print(night, r, wall_s);
+  const Result r = real ? PlayReal(scenario, file, seed, &wall_s) : Play(scenario, seed, &wall_s);
+  Print(scenario, r, wall_s);
   if (!json.empty()) {
     std::ofstream out(json);
-    out << Json(night, r, wall_s, time) << "\n";
+    out << Json(scenario, r, wall_s, time) << "\n";
     if (!out.flush()) throw config::Error(json + ": can't be written");
   }
   if (!evidence.empty()) {
     store::ArchiveWriter out(evidence);
-    out.Add("night.yaml", Read(file));
+    out.Add("scenario.yaml", Read(file));
     out.Add("history.txt", r.history);
     out.Add("log.txt", r.log);
     out.Add("final-states.txt", FinalText(r));
-    out.Add("result.json", Json(night, r, wall_s, time) + "\n");
+    out.Add("result.json", Json(scenario, r, wall_s, time) + "\n");
     out.Finish();
   }
   return r.clean() ? 0 : 1;
 }
 
-// Drops troubles, one at a time, while the night still breaks: the least one that does.
-void Shrink(Night night, uint64_t seed) {
-  for (size_t i = 0; i < night.troubles.size();) {
-    Night less = night;
+// Drops troubles, one at a time, while the scenario still breaks: the least one that does.
+void Shrink(Scenario scenario, uint64_t seed) {
+  for (size_t i = 0; i < scenario.troubles.size();) {
+    Scenario less = scenario;
     less.troubles.erase(less.troubles.begin() + static_cast<std::ptrdiff_t>(i));
     if (rehearsal::Play(less, seed).clean()) {
       ++i;
     } else {
-      night = std::move(less);
+      scenario = std::move(less);
     }
   }
-  std::printf("the least that still breaks: %zu troubles, at", night.troubles.size());
-  for (const auto& t : night.troubles) std::printf(" %.1f s", t.at.ToSeconds());
+  std::printf("the least that still breaks: %zu troubles, at", scenario.troubles.size());
+  for (const auto& t : scenario.troubles) std::printf(" %.1f s", t.at.ToSeconds());
   std::printf("\n");
 }
 
@@ -274,7 +274,7 @@
   }
   const uint64_t last = std::strtoull(seeds.c_str() + dots + 2, &end, 10);
   if (*end != '\0' || last < first) throw config::Error("--seeds: expected A..B");
-  const Night night = config::LoadNight(file);
+  const Scenario scenario = config::LoadScenario(file);
   std::atomic<uint64_t> next{first}, played{0};
   std::atomic<bool> stop{false};
   std::mutex mutex;
@@ -287,11 +287,11 @@
       const uint64_t seed = next++;
       if (seed > last || stop) return;
       double wall_s = 0;
-      Result r = Play(night, seed, &wall_s);
+      Result r = Play(scenario, seed, &wall_s);
       const std::lock_guard<std::mutex> lock(mutex);
       ++played;
       slowest = std::max(slowest, wall_s);
-      ++finals[FinalSha(night, r)];
+      ++finals[FinalSha(scenario, r)];
       if (tty)
         std::fprintf(stderr, "\r%llu of %llu", static_cast<unsigned long long>(played),
                      static_cast<unsigned long long>(last - first + 1));
@@ -305,15 +305,15 @@
   for (int i = 0; i < jobs; ++i) threads.emplace_back(work);
   for (std::thread& t : threads) t.join();
   if (tty) std::fprintf(stderr, "\n");
-  std::printf("%s: %llu seeds, slowest %.1f s", night.name.c_str(),
+  std::printf("%s: %llu seeds, slowest %.1f s", scenario.name.c_str(),
               static_cast<unsigned long long>(played), slowest);
   for (const auto& [sha, count] : finals) std::printf("; %.12s %d times", sha.c_str(), count);
   std::printf("\n");
   if (bad) {
-    Print(night, *bad, 0);
+    Print(scenario, *bad, 0);
     std::printf("replay: badgershore-rehearse run %s --seed %llu\n", file.c_str(),
                 static_cast<unsigned long long>(bad->seed));
-    Shrink(night, bad->seed);
+    Shrink(scenario, bad->seed);
     return 1;
   }
   if (finals.size() == 1) return 0;
@@ -337,36 +337,38 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app{"badgershore-rehearse: plays nights, and whole sites on one machine"};
+  CLI::App app{"badgershore-rehearse: plays scenarios, and whole sites on one machine"};
   app.set_version_flag("--version", std::string("badgershore-rehearse ") + BADGERSHORE_VERSION);
   app.require_subcommand(1);
   std::string name, json, evidence, seeds = "1..50", log_format = "text";
-  g_nights = NightsFolder();
+  g_scenarios = ScenariosFolder();
   std::string time = "simulated", listen = "127.0.0.1:0", data;
   uint64_t seed = 1;
   int jobs = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
   programs::AddLogFormat(&app, &log_format);
-  app.add_option("--nights", g_nights, "The folder of kept nights")->capture_default_str();
+  app.add_option("--scenarios,--nights", g_scenarios, "The folder of kept scenarios")
+      ->capture_default_str();
   const auto verb = [&](const char* verb_name, const char* help) {
     CLI::App* sub = app.add_subcommand(verb_name, help);
     sub->fallthrough();
     return sub;
   };
-  CLI::App* run = verb("run", "Play a night; exit 1 where a rule is broken or a job stays open");
-  run->add_option("night", name, "A kept night's name, or a file")->required();
+  CLI::App* run = verb("run", "Play a scenario; exit 1 where a rule is broken or a job stays open");
+  run->add_option("scenario", name, "A kept scenario's name, or a file")->required();
   run->add_option("--seed", seed, "All chance comes from it")->capture_default_str();
   run->add_option("--json", json, "Write the result there");
-  run->add_option("--evidence", evidence, "Write night, logs, history and final states (tar.zst)");
+  run->add_option("--evidence", evidence,
+                  "Write scenario, logs, history and final states (tar.zst)");
   run->add_option("--time", time, "simulated, or real: processes on loopback")
       ->check(CLI::IsMember({"simulated", "real"}))
       ->capture_default_str();
   CLI::App* up = verb("up", "Start a whole site on loopback, until Ctrl-C");
-  up->add_option("night", name, "The site, as a night; else a small one that is built in");
+  up->add_option("scenario", name, "The site, as a scenario; else a small one that is built in");
   up->add_option("--listen", listen, "The users' address; port 0 takes a free one")
       ->capture_default_str();
   up->add_option("--data", data, "Keep settings, state and logs there; else they go at the end");
-  CLI::App* explore = verb("explore", "Play a night with many seeds; stop at a broken rule");
-  explore->add_option("night", name, "A kept night's name, or a file")->required();
+  CLI::App* explore = verb("explore", "Play a scenario with many seeds; stop at a broken rule");
+  explore->add_option("scenario", name, "A kept scenario's name, or a file")->required();
   explore->add_option("--seeds", seeds, "A..B")->capture_default_str();
   explore->add_option("--jobs", jobs, "So many at a time")->check(CLI::Range(1, 256));
   check::LimitsPlan plan;
@@ -402,9 +404,9 @@
   model->add_option("--repeats", plan.repeats, "Notes that come late")->capture_default_str();
   model->add_option("--transfers", plan.transfers, "Decided on in all")->capture_default_str();
   model->add_option("--states", states, "At most")->capture_default_str();
-  CLI::App* list = verb("list", "List the kept nights");
-  CLI::App* check = verb("check", "Check a night's file");
-  check->add_option("night", name, "A kept night's name, or a file")->required();
+  CLI::App* list = verb("list", "List the kept scenarios");
+  CLI::App* check = verb("check", "Check a scenario's file");
+  check->add_option("scenario", name, "A kept scenario's name, or a file")->required();
   if (const int code = programs::Parse(&app, argc, argv); code >= 0) return code;
   if (!programs::SetUpLog("badgershore-rehearse", log_format)) return programs::kBadInput;
   std::signal(SIGPIPE, SIG_IGN);
@@ -417,26 +419,27 @@
     if (*model) return Model(check::LimitsModel(plan), states);
     if (*list) {
       std::vector<std::string> files;
-      for (const auto& f : std::filesystem::directory_iterator(g_nights)) {
+      for (const auto& f : std::filesystem::directory_iterator(g_scenarios)) {
         if (f.path().extension() == ".yaml") files.push_back(f.path().string());
       }
       std::sort(files.begin(), files.end());
       for (const std::string& f : files) {
-        const Night night = config::LoadNight(f);
-        std::printf("%-28s %s\n", night.name.c_str(), night.about.c_str());
+        const Scenario scenario = config::LoadScenario(f);
+        std::printf("%-28s %s\n", scenario.name.c_str(), scenario.about.c_str());
       }
       return 0;
     }
     if (*up) {
-      if (!name.empty()) CheckPlayable(config::LoadNight(FileOf(name)), FileOf(name));
-      return Up(name.empty() ? config::SmallSite() : config::LoadNight(FileOf(name)), listen, data);
+      if (!name.empty()) CheckPlayable(config::LoadScenario(FileOf(name)), FileOf(name));
+      return Up(name.empty() ? config::SmallSite() : config::LoadScenario(FileOf(name)), listen,
+                data);
     }
     const std::string file = FileOf(name);
-    if (*run) return RunNight(file, seed, time == "real", json, evidence);
+    if (*run) return RunScenario(file, seed, time == "real", json, evidence);
     if (*explore) return Explore(file, seeds, jobs);
-    const Night night = config::LoadNight(file);
-    std::printf("%s is good: %zu classes, %zu troubles\n", night.name.c_str(), night.classes.size(),
-                night.troubles.size());
+    const Scenario scenario = config::LoadScenario(file);
+    std::printf("%s is good: %zu classes, %zu troubles\n", scenario.name.c_str(),
+                scenario.classes.size(), scenario.troubles.size());
     return 0;
   } catch (const config::Error& e) {
     std::fprintf(stderr, "badgershore-rehearse: %s\n", e.what());
--- a/src/rehearsal/clock.h
+++ b/src/rehearsal/clock.h
@@ -1,5 +1,5 @@
-// Simulated time and chance, shared by all that plays in a night: one queue of events, one random
-// engine, so that a seed gives the same history to the byte.
+// Simulated time and chance, shared by all that plays in a scenario: one queue of events, one
+// random engine, so that a seed gives the same history to the byte.
 #pragma once
 
 #include <algorithm>
--- a/src/rehearsal/cloud.cpp
+++ b/src/rehearsal/cloud.cpp
@@ -8,17 +8,20 @@
 
 using wire::Writer;
 
-Cloud::Cloud(const Night& night, uint64_t seed, Hooks hooks)
-    : night_(night), random_(seed), hooks_(std::move(hooks)), rate_(night.site.cloud_rps * 2, {}) {}
+Cloud::Cloud(const Scenario& scenario, uint64_t seed, Hooks hooks)
+    : scenario_(scenario),
+      random_(seed),
+      hooks_(std::move(hooks)),
+      rate_(scenario.site.cloud_rps * 2, {}) {}
 
-const NightType* Cloud::Type(const std::string& name) const {
-  for (const NightType& t : night_.types) {
+const MachineOffer* Cloud::Type(const std::string& name) const {
+  for (const MachineOffer& t : scenario_.types) {
     if (t.type.name == name) return &t;
   }
   return nullptr;
 }
 
-std::string Cloud::Add(Micros now, const NightType& type, const std::string& zone, bool spot) {
+std::string Cloud::Add(Micros now, const MachineOffer& type, const std::string& zone, bool spot) {
   char id[24];
   std::snprintf(id, sizeof(id), "n-%06d", ++next_);
   machines_[id] = {id,     type.type.name, zone,  hooks_.endpoint(id), spot, now,
@@ -27,7 +30,7 @@
 }
 
 void Cloud::Begin(Micros now) {
-  for (const NightType& t : night_.types) {
+  for (const MachineOffer& t : scenario_.types) {
     for (int i = 0; i < t.up; ++i) {
       const auto& zones = t.type.zones;
       const std::string id = Add(now, t, zones[static_cast<size_t>(i) % zones.size()], false);
@@ -41,7 +44,7 @@
   rapidjson::Document doc;
   if (!wire::ParseObject(body, &doc)) return {400, "{}"};
   const std::string hire = wire::Text(doc, "hire"), zone = wire::Text(doc, "yard");
-  const NightType* type = Type(wire::Text(doc, "build"));
+  const MachineOffer* type = Type(wire::Text(doc, "build"));
   const bool spot = wire::Flag(doc, "loaners");
   int number = static_cast<int>(wire::Count(doc, "number"));
   if (!type || hire.empty() || number < 1 || number > 50) return {400, "{}"};
@@ -58,7 +61,7 @@
     const std::string id = Add(now, *type, zone, spot);
     w.Str(id);
     if (Chance() < never_share) continue;
-    const double spread = 1 + night_.boot_spread * (2 * Chance() - 1);
+    const double spread = 1 + scenario_.boot_spread * (2 * Chance() - 1);
     const Micros at = now + type->type.boot.Scaled(spread);
     const bool vanishes = Chance() < vanish_share;
     hooks_.later(at, [this, id, at, vanishes] {
@@ -77,7 +80,7 @@
 
 // As it was some time ago: between nothing and twice the nominal lag.
 std::string Cloud::List(Micros now, const std::string& after) {
-  const Micros seen = now - night_.site.cloud_list_lag.Scaled(0.5 + 1.5 * Chance());
+  const Micros seen = now - scenario_.site.cloud_list_lag.Scaled(0.5 + 1.5 * Chance());
   Writer w;
   w.Begin().Key("setts").BeginList();
   int count = 0;
@@ -109,7 +112,7 @@
   if (call.target == "/flavors") {
     Writer w;
     w.Begin().Key("builds").BeginList();
-    for (const NightType& t : night_.types) {
+    for (const MachineOffer& t : scenario_.types) {
       w.Begin().Put("sku", t.type.name);
       w.Put("cpus", static_cast<double>(t.type.size.cpu) / 1000);
       w.Put("accelerators", static_cast<double>(t.type.size.gpu) / 1000);
@@ -149,7 +152,7 @@
   for (const auto& [id, m] : machines_) {
     const Micros end = std::max(std::min({now, m.gone, m.failed}),
                                 m.asked + (m.gone <= now ? Seconds(60) : Micros{}));
-    const NightType* t = Type(m.type);
+    const MachineOffer* t = Type(m.type);
     out += (m.spot ? t->type.spot_price : t->type.price) * (end - m.asked).ToSeconds() / 3600;
   }
   return out;
--- a/src/rehearsal/cloud.h
+++ b/src/rehearsal/cloud.h
@@ -8,14 +8,14 @@
 #include <string>
 #include <vector>
 
-#include "config/night.h"
+#include "config/scenario.h"
 #include "store/limits.h"
 #include "wire/messages.h"
 
 namespace badgershore::rehearsal {
 
-using config::Night;
-using config::NightType;
+using config::MachineOffer;
+using config::Scenario;
 
 class Cloud {
  public:
@@ -30,7 +30,7 @@
     std::function<void(const Machine&)> gone;
     std::function<std::string(const std::string& id)> endpoint;
   };
-  Cloud(const Night& night, uint64_t seed, Hooks hooks);
+  Cloud(const Scenario& scenario, uint64_t seed, Hooks hooks);
 
   // Machines that are up from the beginning.
   void Begin(Micros now);
@@ -44,13 +44,13 @@
   const std::map<std::string, Machine>& machines() const { return machines_; }
 
  private:
-  const NightType* Type(const std::string& name) const;
-  std::string Add(Micros now, const NightType& type, const std::string& zone, bool spot);
+  const MachineOffer* Type(const std::string& name) const;
+  std::string Add(Micros now, const MachineOffer& type, const std::string& zone, bool spot);
   std::pair<int, std::string> Rent(Micros now, const std::string& body);
   std::string List(Micros now, const std::string& after);
   double Chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
-  const Night& night_;
+  const Scenario& scenario_;
   std::mt19937_64 random_;
   Hooks hooks_;
   store::RateLimit rate_;
--- a/src/rehearsal/distortions.h
+++ b/src/rehearsal/distortions.h
@@ -1,4 +1,4 @@
-// What troubles do to single messages. No chance is taken while a share is 0, so that a night
+// What troubles do to single messages. No chance is taken while a share is 0, so that a scenario
 // without the trouble is the same with and without this.
 #pragma once
 
--- a/src/rehearsal/history.h
+++ b/src/rehearsal/history.h
@@ -1,4 +1,4 @@
-// What happened in a night, as those outside the controllers saw it. No core headers here: the
+// What happened in a scenario, as those outside the controllers saw it. No core headers here: the
 // checker must not share the controllers' notions.
 #pragma once
 
--- a/src/rehearsal/machines.cpp
+++ b/src/rehearsal/machines.cpp
@@ -10,15 +10,15 @@
   w.record = {m.id, m.endpoint, m.type, m.zone, m.spot};
   agent::Settings s;
   s.machine = w.record;
-  for (const NightType& t : night_.types) {
+  for (const MachineOffer& t : scenario_.types) {
     if (t.type.name != m.type) continue;
     s.size = t.type.size;
     w.fetch_gb_per_s = t.type.fetch_gb_per_s * (0.7 + 0.6 * Chance());
   }
   for (size_t i = 0; i < nodes_.size(); ++i) s.controllers.push_back(NodeName(i));
-  s.report_every = night_.site.report_every;
-  s.lease = night_.site.worker_lease;
-  s.gang_wait = night_.site.gang_wait;
+  s.report_every = scenario_.site.report_every;
+  s.lease = scenario_.site.worker_lease;
+  s.gang_wait = scenario_.site.gang_wait;
   w.agent = std::make_unique<agent::Agent>(s, clock_.random(), now_);
   Event e;
   e.kind = Event::Kind::kMachineUp;
@@ -108,7 +108,7 @@
         break;
       }
       case Kind::kDescribe:
-        if (outside_ && !work_.Find(c.text)) {  // not one of the night's: someone else's job
+        if (outside_ && !work_.Find(c.text)) {  // not one of the scenario's: someone else's job
           outside_->Describe(c.text, [this, alive, job = c.text](std::optional<JobSpec> spec) {
             if (spec && !work_.Find(job)) work_.AddJob(*spec, spec->estimate, 0);
             alive([this, job, spec](agent::Agent* agent) {
--- a/src/rehearsal/nodes.cpp
+++ b/src/rehearsal/nodes.cpp
@@ -12,7 +12,7 @@
 
 void World::StartNode(size_t index) {
   Node& n = nodes_[index];
-  PlatformSettings s = night_.site;
+  PlatformSettings s = scenario_.site;
   s.teams = teams_;
   s.member = NodeName(index);
   s.client_listen = s.member;
@@ -215,9 +215,9 @@
   CellsPlan plan;
   if (!all_) return plan;
   plan.self = name_;
-  for (size_t i = 0; i < night_.cells.size(); ++i) {
+  for (size_t i = 0; i < scenario_.cells.size(); ++i) {
     CellSite site;
-    site.name = night_.cells[i];
+    site.name = scenario_.cells[i];
     for (size_t k = 0; k < nodes_.size(); ++k) {
       site.backs.push_back((i == 0 ? "" : site.name + "/") + NodeName(k));
     }
--- a/src/rehearsal/service.h
+++ b/src/rehearsal/service.h
@@ -1,4 +1,4 @@
-// How each class of jobs and each team was served in a night, from the history alone.
+// How each class of jobs and each team was served in a scenario, from the history alone.
 #pragma once
 
 #include <cstdint>
--- a/src/rehearsal/site.cpp
+++ b/src/rehearsal/site.cpp
@@ -20,9 +20,9 @@
 
 }  // namespace
 
-Site::Site(io::Loop* loop, const Night& night, SiteOptions options)
+Site::Site(io::Loop* loop, const Scenario& scenario, SiteOptions options)
     : loop_(loop),
-      night_(night),
+      scenario_(scenario),
       options_(std::move(options)),
       state_addr_(site::FreeAddress()),
       cloud_addr_(site::FreeAddress()),
@@ -32,10 +32,10 @@
           loop, [this](http::Message m) { return Serve("cloud", std::move(m)); }, 256),
       relay_(loop, nodes_),
       processes_(loop, Commands()),
-      world_(night_, options_.seed, this) {}
+      world_(scenario_, options_.seed, this) {}
 
 std::string Site::Settings(size_t node) const {
-  const PlatformSettings& s = night_.site;
+  const PlatformSettings& s = scenario_.site;
   wire::Writer w;
   w.Begin().Put("member", "node-" + std::to_string(node)).Put("site", s.zones[0]);
   w.Put("client_listen", nodes_[node]).Put("back", backs_[node]).Key("members").BeginList();
@@ -71,7 +71,7 @@
 std::vector<site::Command> Site::Commands() {
   const std::string& dir = options_.dir;
   std::filesystem::create_directories(dir);
-  const PlatformSettings& s = night_.site;
+  const PlatformSettings& s = scenario_.site;
   std::ofstream(dir + "/state.yaml")
       << "limits:\n  rps: " << s.state_rps << "\n  write_rps: " << s.state_write_rps
       << "\n  value_kb: " << s.state_value_kb << "\n  txn_ops: " << s.state_txn_ops << "\n";
--- a/src/rehearsal/site.h
+++ b/src/rehearsal/site.h
@@ -20,10 +20,10 @@
 
 class Site : public Outside {
  public:
-  Site(io::Loop* loop, const Night& night, SiteOptions options);
+  Site(io::Loop* loop, const Scenario& scenario, SiteOptions options);
 
-  // Ends when the night is over (`night` has jobs of its own) or at Stop; `over` is called when
-  // no process is left.
+  // Ends when the scenario is over (`scenario` has jobs of its own) or at Stop; `over` is called
+  // when no process is left.
   bool Start(std::function<void()> over, std::string* error);
   void Stop();
   std::string address() const { return relay_.address(); }
@@ -51,7 +51,7 @@
   std::string Settings(size_t node) const;
 
   io::Loop* loop_;
-  Night night_;
+  Scenario scenario_;
   SiteOptions options_;
   std::string state_addr_, cloud_addr_;
   std::vector<std::string> nodes_, backs_;
--- a/src/rehearsal/state.cpp
+++ b/src/rehearsal/state.cpp
@@ -81,10 +81,10 @@
 
 void World::StartState() {
   store::Limits limits;
-  limits.requests_per_s = night_.site.state_rps;
-  limits.changes_per_s = night_.site.state_write_rps;
-  limits.value_bytes = static_cast<size_t>(night_.site.state_value_kb * 1024);
-  limits.commit_changes = static_cast<size_t>(night_.site.state_txn_ops);
+  limits.requests_per_s = scenario_.site.state_rps;
+  limits.changes_per_s = scenario_.site.state_write_rps;
+  limits.value_bytes = static_cast<size_t>(scenario_.site.state_value_kb * 1024);
+  limits.commit_changes = static_cast<size_t>(scenario_.site.state_txn_ops);
   state_ = std::make_unique<store::Machine>(limits, std::move(disk_), now_);
   PumpState();
 }
--- a/src/rehearsal/troubles.cpp
+++ b/src/rehearsal/troubles.cpp
@@ -1,4 +1,4 @@
-// What goes wrong in a night, and when it is over.
+// What goes wrong in a scenario, and when it is over.
 #include <algorithm>
 
 #include "rehearsal/world.h"
@@ -147,7 +147,7 @@
         // cell that runs more than its share of a lower one stops nothing, and the others start
         // within theirs: so the new one holds once what ran before has ended.
         Micros longest;
-        for (const NightClass& c : night_.classes) longest = std::max(longest, c.run.Scaled(1.5));
+        for (const JobClass& c : scenario_.classes) longest = std::max(longest, c.run.Scaled(1.5));
         says(std::max(team.limit.cpu, t.cpus_max));
         Later(now_ + t.span + longest + Seconds(15), [says, cpu = t.cpus_max] { says(cpu); });
         team.limit.cpu = t.cpus_max;
--- a/src/rehearsal/users.cpp
+++ b/src/rehearsal/users.cpp
@@ -1,4 +1,4 @@
-// The users of a simulated night: they submit, ask, cancel and ask again.
+// The users of a simulated scenario: they submit, ask, cancel and ask again.
 #include <algorithm>
 
 #include "rehearsal/world.h"
@@ -28,12 +28,12 @@
 
 }  // namespace
 
-// Which jobs there are and how large is the night's alone; only when they come is chance.
+// Which jobs there are and how large is the scenario's alone; only when they come is chance.
 void World::PlanJobs() {
-  for (size_t c = 0; c < night_.classes.size(); ++c) {
-    const NightClass& k = night_.classes[c];
+  for (size_t c = 0; c < scenario_.classes.size(); ++c) {
+    const JobClass& k = scenario_.classes[c];
     if (k.cell.empty() ? cell_ != 0 : k.cell != name_) continue;
-    const Micros until = k.until.count > 0 ? k.until : night_.duration;
+    const Micros until = k.until.count > 0 ? k.until : scenario_.duration;
     const int arriving =
         static_cast<int>(k.per_minute * std::max(0.0, (until - k.from).ToSeconds()) / 60);
     std::mt19937_64 size(c + 1);
@@ -74,7 +74,7 @@
       });
     }
   }
-  for (const Withdrawal& w : night_.withdrawals) {
+  for (const Withdrawal& w : scenario_.withdrawals) {
     if (jobs_.contains(w.job)) Later(now_ + w.at, [this, job = w.job] { Withdraw(job); });
   }
 }
@@ -247,7 +247,7 @@
   // One that fits no machine, one that lacks a field, in turn.
   char id[48];
   std::snprintf(id, sizeof(id), "job-88%05d", ++odd_jobs_);
-  JobSpec spec = night_.classes[0].spec;
+  JobSpec spec = scenario_.classes[0].spec;
   spec.id = id;
   spec.image = "odd";
   if (odd_jobs_ % 2 == 0) spec.need.cpu = 100000000;
--- a/src/rehearsal/work.cpp
+++ b/src/rehearsal/work.cpp
@@ -66,7 +66,7 @@
   if (std::exchange(gang.broken, true) || !gang.running) return;
   const Micros progress = hooks_.now() - gang.since + job->saved[0];
   if (!gang.stopping) job->saved[0] = std::max(job->saved[0], Checkpoint(*job, progress));
-  const Micros by = hooks_.now() + night_.site.gang_peer.Scaled(0.2 + 0.7 * Chance());
+  const Micros by = hooks_.now() + scenario_.site.gang_peer.Scaled(0.2 + 0.7 * Chance());
   hooks_.later(by, [this, job, attempt] {
     const Gang gone = std::move(job->gangs[attempt]);
     job->gangs.erase(attempt);
@@ -119,7 +119,7 @@
   if (!std::exchange(gang.stopping, true)) {
     // All must be told in time, or the save fails.
     const Micros progress = now - gang.since + job.saved[0];
-    hooks_.later(now + night_.site.gang_peer,
+    hooks_.later(now + scenario_.site.gang_peer,
                  [this, &job, alive, attempt = task.attempt, progress] {
                    Gang* g = alive();
                    if (!g) return;
--- a/src/rehearsal/work.h
+++ b/src/rehearsal/work.h
@@ -9,11 +9,11 @@
 #include <string>
 
 #include "agent/core/agent.h"
-#include "config/night.h"
+#include "config/scenario.h"
 
 namespace badgershore::rehearsal {
 
-using config::Night;
+using config::Scenario;
 
 using agent::TaskKey;
 
@@ -27,8 +27,8 @@
     std::function<void(const std::string& machine, const TaskKey&, ExitCause, bool saved)> exit;
     std::function<void(const TaskKey&)> done;  // completed, before any exit is told
   };
-  Work(const Night& night, uint64_t seed, Hooks hooks)
-      : night_(night), random_(seed), hooks_(std::move(hooks)) {}
+  Work(const Scenario& scenario, uint64_t seed, Hooks hooks)
+      : scenario_(scenario), random_(seed), hooks_(std::move(hooks)) {}
 
   // `mistake`: so much of its tasks fails wherever it is started.
   void AddJob(const JobSpec& spec, Micros run, double mistake) {
@@ -75,7 +75,7 @@
   void Break(Job* job, uint64_t attempt);
   double Chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
-  const Night& night_;
+  const Scenario& scenario_;
   std::mt19937_64 random_;
   Hooks hooks_;
   std::map<std::string, Job> jobs_;
--- a/src/rehearsal/world.cpp
+++ b/src/rehearsal/world.cpp
@@ -5,20 +5,20 @@
 namespace badgershore::rehearsal {
 namespace {
 
-Checker::Bounds BoundsOf(const Night& night) {
+Checker::Bounds BoundsOf(const Scenario& scenario) {
   Checker::Bounds b;
-  b.cancel_s = night.site.cancel_within.ToSeconds();
-  for (const Team& t : night.site.teams) b.limits[t.name] = {t.limit.cpu, t.limit.gpu};
+  b.cancel_s = scenario.site.cancel_within.ToSeconds();
+  for (const Team& t : scenario.site.teams) b.limits[t.name] = {t.limit.cpu, t.limit.gpu};
   // What was on its way then arrives, and whoever was ended is back.
-  for (const Trouble& t : night.troubles) {
+  for (const Trouble& t : scenario.troubles) {
     b.troubles_over_s = std::max(b.troubles_over_s, (t.at + t.span).ToSeconds() + 15);
   }
   return b;
 }
 
-std::map<std::string, Service::Bound> ServiceBounds(const Night& night) {
+std::map<std::string, Service::Bound> ServiceBounds(const Scenario& scenario) {
   std::map<std::string, Service::Bound> out;
-  for (const NightClass& c : night.classes) {
+  for (const JobClass& c : scenario.classes) {
     out[c.spec.lane] = {c.start_within.ToSeconds(), c.done_within.ToSeconds()};
   }
   return out;
@@ -26,36 +26,36 @@
 
 }  // namespace
 
-Stage::Stage(const Night& night, uint64_t seed)
-    : clock(seed), checker(BoundsOf(night)), service(ServiceBounds(night)) {
-  result.night = night.name;
+Stage::Stage(const Scenario& scenario, uint64_t seed)
+    : clock(seed), checker(BoundsOf(scenario)), service(ServiceBounds(scenario)) {
+  result.scenario = scenario.name;
   result.seed = seed;
 }
 
-World::World(const Night& night, uint64_t seed, Outside* outside)
-    : World(night, std::make_shared<Stage>(night, seed), 0, nullptr, outside) {}
+World::World(const Scenario& scenario, uint64_t seed, Outside* outside)
+    : World(scenario, std::make_shared<Stage>(scenario, seed), 0, nullptr, outside) {}
 
-World::World(const Night& night, Stage* stage, size_t cell, std::vector<World*>* all)
-    : World(night, std::shared_ptr<Stage>(stage, [](Stage*) {}), cell, all, nullptr) {}
+World::World(const Scenario& scenario, Stage* stage, size_t cell, std::vector<World*>* all)
+    : World(scenario, std::shared_ptr<Stage>(stage, [](Stage*) {}), cell, all, nullptr) {}
 
-World::World(const Night& night, std::shared_ptr<Stage> stage, size_t cell,
+World::World(const Scenario& scenario, std::shared_ptr<Stage> stage, size_t cell,
              std::vector<World*>* all, Outside* outside)
-    : night_(night),
+    : scenario_(scenario),
       stage_(std::move(stage)),
       clock_(stage_->clock),
       now_(clock_.now),
       outside_(outside),
       cell_(cell),
-      name_(night.cells.empty() ? "" : night.cells[cell]),
+      name_(scenario.cells.empty() ? "" : scenario.cells[cell]),
       prefix_(cell == 0 ? "" : name_ + "/"),
       all_(all),
-      teams_(night.site.teams),
-      cloud_(night, clock_.random(),
+      teams_(scenario.site.teams),
+      cloud_(scenario, clock_.random(),
              {[this](Micros at, std::function<void()> f) { Later(at, std::move(f)); },
               [this](const Cloud::Machine& m) { MachineUp(m); },
               [this](const Cloud::Machine& m) { MachineGone(m.id); },
               [this](const std::string& id) { return outside_ ? outside_->OpenMachine(id) : id; }}),
-      work_(night, clock_.random(),
+      work_(scenario, clock_.random(),
             {[this] { return now_; },
              [this](Micros at, std::function<void()> f) { Later(at, std::move(f)); },
              [this](const std::string& machine, const TaskKey& task) {
@@ -116,10 +116,10 @@
   Later(now_ + Seconds(7), [this] { AskUnknown(); });
   if (!outside_ && !all_) {  // of several cells each has its share of a limit, which may be used up
     Micros over;
-    for (const Trouble& t : night_.troubles) over = std::max(over, t.at + t.span);
+    for (const Trouble& t : scenario_.troubles) over = std::max(over, t.at + t.span);
     Later(now_ + over + Seconds(15), [this] { LookForLeftWork(); });
   }
-  for (const Trouble& t : night_.troubles) {
+  for (const Trouble& t : scenario_.troubles) {
     const bool everywhere = t.kind == Trouble::Kind::kLimit && t.cell.empty();
     const bool here = t.cell.empty() ? cell_ == 0 : t.cell == name_;
     if (t.kind == Trouble::Kind::kRestore && here) {
@@ -171,8 +171,8 @@
 }
 
 bool World::over() const {
-  if (now_ < start_ + night_.duration) return false;
-  if (now_ > start_ + night_.duration + night_.settle) return true;
+  if (now_ < start_ + scenario_.duration) return false;
+  if (now_ > start_ + scenario_.duration + scenario_.settle) return true;
   return std::all_of(jobs_.begin(), jobs_.end(), [](const auto& j) {
     return j.second.gave_up || (j.second.final && j.second.rechecked);
   });
@@ -196,7 +196,7 @@
   }
   for (const auto& [id, job] : jobs_) r.open += job.gave_up && !job.facts.cannot_run;
   double cheapest = 1e9;
-  for (const NightType& t : night_.types) {
+  for (const MachineOffer& t : scenario_.types) {
     cheapest =
         std::min(cheapest, t.type.spot_price / (static_cast<double>(t.type.size.cpu) / 1000));
   }
@@ -224,7 +224,7 @@
   }
   // Which jobs are called off is chance here, and only that each ends is to be the same.
   const bool drawn =
-      std::any_of(night_.troubles.begin(), night_.troubles.end(), [](const Trouble& t) {
+      std::any_of(scenario_.troubles.begin(), scenario_.troubles.end(), [](const Trouble& t) {
         return t.kind == Trouble::Kind::kCancelNow || t.kind == Trouble::Kind::kCancelAtEnd ||
                t.kind == Trouble::Kind::kCloseLooks;
       });
@@ -236,13 +236,13 @@
   return std::move(r);
 }
 
-Result Play(const Night& night, uint64_t seed) {
-  if (night.cells.empty()) return World(night, seed).Run();
-  Stage stage(night, seed);
+Result Play(const Scenario& scenario, uint64_t seed) {
+  if (scenario.cells.empty()) return World(scenario, seed).Run();
+  Stage stage(scenario, seed);
   std::vector<World*> all;
   std::vector<std::unique_ptr<World>> worlds;
-  for (size_t i = 0; i < night.cells.size(); ++i) {
-    worlds.push_back(std::make_unique<World>(night, &stage, i, &all));
+  for (size_t i = 0; i < scenario.cells.size(); ++i) {
+    worlds.push_back(std::make_unique<World>(scenario, &stage, i, &all));
     all.push_back(worlds.back().get());
   }
   for (World* w : all) w->Begin(Seconds(1));
--- a/src/rehearsal/world.h
+++ b/src/rehearsal/world.h
@@ -1,6 +1,6 @@
-// A night in simulated time: three controllers' cores as they ship, the state service's machine,
+// A scenario in simulated time: three controllers' cores as they ship, the state service's machine,
 // the emulated cloud, workers and users, and a network between them, in one thread. All chance
-// comes from one seed, so the same night and seed give the same history to the byte.
+// comes from one seed, so the same scenario and seed give the same history to the byte.
 #pragma once
 
 #include <memory>
@@ -18,7 +18,7 @@
 
 namespace badgershore::rehearsal {
 
-using config::NightClass;
+using config::JobClass;
 using config::Trouble;
 using config::Withdrawal;
 
@@ -30,7 +30,7 @@
 inline bool IsMachine(const std::string& host) { return host.starts_with("n-"); }
 
 struct Result {
-  std::string night;
+  std::string scenario;
   uint64_t seed = 0;
   int done = 0, withdrawn = 0, open = 0;
   std::map<std::string, std::string> final_states;
@@ -45,7 +45,7 @@
   bool clean() const { return broken.empty() && open == 0; }
 };
 
-// Real controllers and a real state service, where the night is played in real time.
+// Real controllers and a real state service, where the scenario is played in real time.
 class Outside {
  public:
   using Reply = std::function<void(int status, const std::string& body)>;
@@ -60,9 +60,9 @@
   virtual void RestartState(Micros back_after) = 0;
 };
 
-// What all cells of a night have in common.
+// What all cells of a scenario have in common.
 struct Stage {
-  Stage(const Night& night, uint64_t seed);
+  Stage(const Scenario& scenario, uint64_t seed);
   Clock clock;
   Checker checker;
   Service service;
@@ -78,10 +78,10 @@
 // One cell: controllers, state service, cloud, machines and users.
 class World {
  public:
-  World(const Night& night, uint64_t seed, Outside* outside = nullptr);
+  World(const Scenario& scenario, uint64_t seed, Outside* outside = nullptr);
   // The cell of that number, on a stage that it shares with others.
-  World(const Night& night, Stage* stage, size_t cell, std::vector<World*>* all);
-  // The whole night in simulated time.
+  World(const Scenario& scenario, Stage* stage, size_t cell, std::vector<World*>* all);
+  // The whole scenario in simulated time.
   Result Run();
 
   // In real time: Begin, then RunUntil at NextAt at the latest, until over.
@@ -100,8 +100,8 @@
   // Instead of a status: nobody listens there; no answer came.
   static constexpr int kNotSent = -1, kNoAnswer = 0;
 
-  World(const Night& night, std::shared_ptr<Stage> stage, size_t cell, std::vector<World*>* all,
-        Outside* outside);
+  World(const Scenario& scenario, std::shared_ptr<Stage> stage, size_t cell,
+        std::vector<World*>* all, Outside* outside);
 
   // Time.
   void Later(Micros at, std::function<void()> then) { clock_.Later(at, std::move(then)); }
@@ -208,14 +208,14 @@
          rechecked = false;
   };
 
-  const Night& night_;
+  const Scenario& scenario_;
   std::shared_ptr<Stage> stage_;
   Clock& clock_;
   Micros& now_;
   Outside* outside_;
   size_t cell_;
   std::string name_, prefix_;  // of the cell, and of its machines in the history
-  std::vector<World*>* all_;   // of the night's cells; null: this one is alone
+  std::vector<World*>* all_;   // of the scenario's cells; null: this one is alone
   std::vector<Team> teams_;    // as the settings say now
   std::map<uint64_t, Pending> pending_;
   uint64_t next_call_ = 0;
@@ -249,7 +249,7 @@
   std::map<std::string, UserJob> jobs_;
 };
 
-// A night, of however many cells.
-Result Play(const Night& night, uint64_t seed);
+// A scenario, of however many cells.
+Result Play(const Scenario& scenario, uint64_t seed);
 
 }  // namespace badgershore::rehearsal
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "config/night.h"
+#include "config/scenario.h"
 #include "config/yaml.h"
 
 namespace badgershore::config {
@@ -146,11 +146,11 @@
   }
 }
 
-// Guards against: a trouble that names nobody, so that a night passes in which nothing happened.
-TEST(NightFile, TroublesNameThoseThatTheyCanMeet) {
+// Guards against: a trouble that names nobody, so that a scenario passes in which nothing happened.
+TEST(ScenarioFile, TroublesNameThoseThatTheyCanMeet) {
   const auto says = [](const std::string& trouble) -> std::string {
     try {
-      config::ParseNight(
+      config::ParseScenario(
           "about: a\nduration_s: 9\nteams: [{name: t}]\nmachine_types: [{name: m}]\n"
           "classes: [{name: c, run_s: 1}]\ntroubles:\n- {" +
               trouble + "}\n",
--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -1,4 +1,4 @@
-// The checker of the Rules, and that a night is the same each time.
+// The checker of the Rules, and that a scenario is the same each time.
 #include <gtest/gtest.h>
 
 #include <filesystem>
@@ -220,8 +220,8 @@
   EXPECT_EQ(Found(), "nothing_ran");
 }
 
-// Every kept night, with a few seeds here (all fifty: docs/results.md): the same end each time.
-class KeptNight : public testing::TestWithParam<std::string> {
+// Every kept scenario, with a few seeds here (all fifty: docs/results.md): the same end each time.
+class KeptScenario : public testing::TestWithParam<std::string> {
  public:
   static const std::vector<std::string>& Names() {
     static const std::vector<std::string> names = {"all-at-once",
@@ -281,21 +281,21 @@
   }
 };
 
-TEST_P(KeptNight, BreaksNothingAndEndsTheSameWithEverySeed) {
-  const config::Night night =
-      config::LoadNight(std::string(BADGERSHORE_NIGHTS) + "/" + GetParam() + ".yaml");
+TEST_P(KeptScenario, BreaksNothingAndEndsTheSameWithEverySeed) {
+  const config::Scenario scenario =
+      config::LoadScenario(std::string(BADGERSHORE_SCENARIOS) + "/" + GetParam() + ".yaml");
   std::map<std::string, std::string> ends;
   for (uint64_t seed = 1; seed <= 3; ++seed) {
-    const Result r = rehearsal::Play(night, seed);
+    const Result r = rehearsal::Play(scenario, seed);
     EXPECT_EQ(r.open, 0) << "seed " << seed;
     for (const Broken& b : r.broken) ADD_FAILURE() << seed << " " << b.rule << " " << b.detail;
     std::map<std::string, std::string> final_states = r.final_states;
-    for (const std::string& id : night.either) final_states[id] = "either";
+    for (const std::string& id : scenario.either) final_states[id] = "either";
     if (seed == 1) ends = final_states;
     EXPECT_EQ(final_states, ends) << "seed " << seed;
   }
 }
-INSTANTIATE_TEST_SUITE_P(Nights, KeptNight, testing::ValuesIn(KeptNight::Names()),
+INSTANTIATE_TEST_SUITE_P(Scenarios, KeptScenario, testing::ValuesIn(KeptScenario::Names()),
                          [](const auto& info) {
                            std::string name = info.param;
                            std::replace(name.begin(), name.end(), '-', '_');
@@ -346,12 +346,12 @@
   EXPECT_EQ(After(100), 1);
 }
 
-// nights/ holds only nights that `run` plays, each among those above; the site of `up` is built in.
-// Guards against: a site kept there that no run could finish.
-TEST(Night, EveryKeptOneIsPlayedAboveAndTheSmallSiteIsGood) {
-  const auto& played = KeptNight::Names();
+// scenarios/ holds only scenarios that `run` plays, each among those above; the site of `up` is
+// built in. Guards against: a site kept there that no run could finish.
+TEST(Scenario, EveryKeptOneIsPlayedAboveAndTheSmallSiteIsGood) {
+  const auto& played = KeptScenario::Names();
   size_t kept = 0;
-  for (const auto& f : std::filesystem::directory_iterator(BADGERSHORE_NIGHTS)) {
+  for (const auto& f : std::filesystem::directory_iterator(BADGERSHORE_SCENARIOS)) {
     if (f.path().extension() != ".yaml") continue;
     ++kept;
     EXPECT_NE(std::find(played.begin(), played.end(), f.path().stem()), played.end()) << f.path();
@@ -362,12 +362,12 @@
 
 // Guards against: chance from anywhere but the seed (an address, a clock, the order of a hash).
 // The kept hash holds for every build type; a change of the history by design changes it.
-TEST(Night, TheSameSeedIsTheSameHistoryToTheByte) {
-  const config::Night night =
-      config::LoadNight(std::string(BADGERSHORE_NIGHTS) + "/all-at-once.yaml");
-  const std::string first = store::Sha256(World(night, 7).Run().history);
-  EXPECT_EQ(first, store::Sha256(World(night, 7).Run().history));
-  EXPECT_NE(first, store::Sha256(World(night, 8).Run().history));
+TEST(Scenario, TheSameSeedIsTheSameHistoryToTheByte) {
+  const config::Scenario scenario =
+      config::LoadScenario(std::string(BADGERSHORE_SCENARIOS) + "/all-at-once.yaml");
+  const std::string first = store::Sha256(World(scenario, 7).Run().history);
+  EXPECT_EQ(first, store::Sha256(World(scenario, 7).Run().history));
+  EXPECT_NE(first, store::Sha256(World(scenario, 8).Run().history));
   EXPECT_EQ(first, "bac48e9e45f06d4468c95f95b375114b8bf0ec149a1559040a75f41527b330be");
 }
 
@@ -406,8 +406,8 @@
   EXPECT_EQ(broken(true), 1u);
 }
 
-// Guards against: a night that loses a team or comes late and is called good.
-TEST(Service, HalfServedOrLateFailsANight) {
+// Guards against: a scenario that loses a team or comes late and is called good.
+TEST(Service, HalfServedOrLateFailsAScenario) {
   Service service({{"lane", {0, 10}}});
   const auto see = [&](Event::Kind kind, const std::string& job, int64_t at_s,
                        const std::string& text) {
