--- a/src/check/cancel_model.cpp
+++ b/src/check/cancel_model.cpp
@@ -4,7 +4,7 @@
 #include <array>
 
 #include "check/small_state.h"
-#include "core/desk/warrant.h"
+#include "core/frontend/leader_authority.h"
 
 namespace badgershore::check {
 namespace {
@@ -28,7 +28,7 @@
     std::unique_ptr<Asker> asker;
     std::unique_ptr<Election> election;
     std::unique_ptr<Mirror> jobs;
-    std::unique_ptr<Warrant> warrant;
+    std::unique_ptr<LeaderAuthority> authority;
     std::vector<Watch> watches;
     bool won = false, lost = false, knows = false;
     bool refused = false, hangs = false;
@@ -67,10 +67,10 @@
                                    static_cast<int>(i), kLease, std::move(callbacks));
   }
 
-  // A reign begins with the jobs to be read.
-  void Reign(Node* n) {
+  // A term begins with the jobs to be read.
+  void LeaderContext(Node* n) {
     if (std::exchange(n->lost, false)) {
-      n->warrant.reset();
+      n->authority.reset();
       n->jobs.reset();
       n->knows = false;
     }
@@ -78,15 +78,15 @@
     n->jobs = std::make_unique<Mirror>(
         n->asker.get(), keys::kJob, [n](Micros, const Entry& e) { n->knows = !e.erased; },
         [](Micros) {}, kWatch);
-    n->warrant =
-        std::make_unique<Warrant>(n->election.get(), n->jobs.get(), kCancel, kWorkerLease, kLease);
+    n->authority = std::make_unique<LeaderAuthority>(n->election.get(), n->jobs.get(), kCancel,
+                                                     kWorkerLease, kLease);
   }
 
   void Serve(size_t i) {
     Node& n = nodes[i];
     const bool served = !down && !n.refused;
     for (int round = 0; round < 8; ++round) {
-      Reign(&n);
+      LeaderContext(&n);
       if (n.jobs) n.jobs->Tick(Clock(i));
       std::vector<StateOp> ops = std::exchange(n.asker->out.state, {});
       if (ops.empty()) break;
@@ -125,32 +125,32 @@
     const Node& n = nodes[i];
     const Micros span = kCancel - kWorkerLease - Seconds(2);
     switch (plan.planted) {
-      case PlantedInWarrant::kUnreadAnswers:
+      case PlantedInAuthority::kUnreadAnswers:
         if (!n.jobs->synced()) return Clock(i) < n.election->confirmed_at() + span;
         break;
-      case PlantedInWarrant::kRenewalIsKnowledge:
+      case PlantedInAuthority::kRenewalIsKnowledge:
         return n.jobs->synced() && Clock(i) < n.election->confirmed_at() + span;
-      case PlantedInWarrant::kArrivalIsKnowledge:
+      case PlantedInAuthority::kArrivalIsKnowledge:
         return n.jobs->synced() &&
                Clock(i) < std::min(n.election->confirmed_at(), n.news_at) + span;
       default:
         break;
     }
-    return n.jobs->synced() && n.warrant->MayAnswer(Clock(i));
+    return n.jobs->synced() && n.authority->MayAnswer(Clock(i));
   }
 
   void Report() {
     const Node& n = nodes[at];
-    if (!n.election->leads() || !n.warrant || !MayAnswer(at)) return;
+    if (!n.election->leads() || !n.authority || !MayAnswer(at)) return;
     const uint64_t term = n.election->term();
     if (term < baton) return;
     const bool greeted = std::exchange(baton, term) != term;
     lease_end = WorkerClock() + kWorkerLease;
     if (on && n.jobs->synced() && !n.knows &&
-        !(greeted && plan.planted == PlantedInWarrant::kNoHaltInGreeting)) {
+        !(greeted && plan.planted == PlantedInAuthority::kNoHaltInGreeting)) {
       on = false;
     }
-    if (!on && !greeted && n.knows && n.warrant->MayStart(Clock(at))) {
+    if (!on && !greeted && n.knows && n.authority->MayStart(Clock(at))) {
       on = true;
       if (cancelled >= Micros{} && now - cancelled > kCancel) late = "starts";
     }
--- a/src/check/cancel_model.h
+++ b/src/check/cancel_model.h
@@ -1,7 +1,8 @@
-// What a cell's controllers let live and start, as it ships (core/desk: election, mirror, warrant),
-// around one worker with one task of one job, which somebody cancels. The state service refuses one
-// controller, is down for all, or keeps the answers to lists and watches back; the worker goes from
-// one controller to the other; controllers end. Explored: every order of these, a second at a time.
+// What a cell's controllers let live and start, as it ships (core/frontend: election, mirror,
+// authority), around one worker with one task of one job, which somebody cancels. The state service
+// refuses one controller, is down for all, or keeps the answers to lists and watches back; the
+// worker goes from one controller to the other; controllers end. Explored: every order of these, a
+// second at a time.
 #pragma once
 
 #include <string>
@@ -11,7 +12,7 @@
 
 namespace badgershore::check {
 
-enum class PlantedInWarrant {
+enum class PlantedInAuthority {
   kNone,
   kRenewalIsKnowledge,  // counted from the lease's renewal
   kUnreadAnswers,       // reports are answered before the jobs are read
@@ -21,7 +22,7 @@
 
 struct CancelPlan {
   int seconds = 16, troubles = 4;  // troubles: changes of who is served, heard or there
-  PlantedInWarrant planted = PlantedInWarrant::kNone;
+  PlantedInAuthority planted = PlantedInAuthority::kNone;
   std::vector<std::string> first;  // what happens before the exploration begins
 };
 
--- a/src/check/election_model.cpp
+++ b/src/check/election_model.cpp
@@ -4,7 +4,7 @@
 #include <map>
 
 #include "check/small_state.h"
-#include "core/desk/election.h"
+#include "core/frontend/election.h"
 
 namespace badgershore::check {
 namespace {
--- a/src/core/desk/admission.cpp
+++ b/src/core/frontend/admission.cpp
@@ -1,4 +1,4 @@
-#include "core/desk/admission.h"
+#include "core/frontend/admission.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/desk/controller.cpp
+++ b/src/core/frontend/controller.cpp
@@ -1,4 +1,4 @@
-#include "core/desk/controller.h"
+#include "core/frontend/controller.h"
 
 namespace badgershore {
 
@@ -9,14 +9,14 @@
   Election::Callbacks callbacks;
   callbacks.won = [this](Micros now) {
     asker_.Info("leading in term " + std::to_string(election_->term()));
-    Reign reign;
-    reign.asker = &asker_;
-    reign.settings = &settings_;
-    reign.options = &options_;
-    reign.election = election_.get();
-    reign.types = &types_;
-    reign.types_known = [this] { return TypesKnown(); };
-    leader_ = std::make_unique<Leader>(std::move(reign), now, time_of_day_ms_);
+    LeaderContext context;
+    context.asker = &asker_;
+    context.settings = &settings_;
+    context.options = &options_;
+    context.election = election_.get();
+    context.types = &types_;
+    context.types_known = [this] { return TypesKnown(); };
+    leader_ = std::make_unique<Leader>(std::move(context), now, time_of_day_ms_);
     leader_->Tick(now);
     note_at_ = now;  // the others hear of it at once
   };
@@ -27,13 +27,13 @@
   callbacks.control = [this](Micros now, const Entry& e) { OnControl(now, e); };
   election_ = std::make_unique<Election>(&asker_, settings_.member, position, options_.lease,
                                          std::move(callbacks));
-  Frontdesk::Facts facts;
+  Frontend::Facts facts;
   facts.never_runs = [this](const JobSpec& s) { return NeverRuns(s); };
   facts.knows_types = [this] { return TypesKnown(); };
   facts.calls_off = [this](Micros now, const std::string& job) { CallOff(now, job, false); };
   facts.called_off = [this](Micros now, const std::string& job) { CallOff(now, job, true); };
   facts.digest = [this](const std::string& job) { return DigestOf(job); };
-  frontdesk_ = std::make_unique<Frontdesk>(&asker_, std::move(facts));
+  frontend_ = std::make_unique<Frontend>(&asker_, std::move(facts));
 }
 
 bool Controller::TypesKnown() const {
@@ -287,15 +287,15 @@
 }
 
 void Controller::OnSubmit(Micros now, RequestId token, Submission submission) {
-  frontdesk_->Submit(now, token, std::move(submission));
+  frontend_->Submit(now, token, std::move(submission));
 }
 
 void Controller::OnQuery(Micros, RequestId token, const std::string& job) {
-  frontdesk_->Query(token, job);
+  frontend_->Query(token, job);
 }
 
 void Controller::OnWithdraw(Micros, RequestId token, const std::string& job) {
-  frontdesk_->Withdraw(token, job);
+  frontend_->Withdraw(token, job);
 }
 
 // Only leaders deal in rights; the others' word comes again.
--- a/src/core/desk/controller.h
+++ b/src/core/frontend/controller.h
@@ -1,4 +1,4 @@
-// One controller: election, the users' desk, and, while it leads, the reign.
+// One controller: election, the users' requests and, while it leads, its term.
 #pragma once
 
 #include <memory>
@@ -7,10 +7,10 @@
 #include <string>
 #include <unordered_map>
 
-#include "core/desk/asker.h"
-#include "core/desk/election.h"
-#include "core/desk/frontdesk.h"
-#include "core/reign/leader.h"
+#include "core/frontend/asker.h"
+#include "core/frontend/election.h"
+#include "core/frontend/frontend.h"
+#include "core/leader/leader.h"
 #include "membership/members.h"
 
 namespace badgershore {
@@ -62,7 +62,7 @@
   std::map<std::string, MachineType> types_;
   int type_count_ = -1;
   std::unique_ptr<Election> election_;
-  std::unique_ptr<Frontdesk> frontdesk_;
+  std::unique_ptr<Frontend> frontend_;
   std::unique_ptr<Leader> leader_;
   std::unique_ptr<Leader> former_;  // freed when no call of its is on the stack
   int64_t time_of_day_ms_ = 0;
--- a/src/core/desk/election.cpp
+++ b/src/core/frontend/election.cpp
@@ -1,4 +1,4 @@
-#include "core/desk/election.h"
+#include "core/frontend/election.h"
 
 namespace badgershore {
 
--- a/src/core/desk/election.h
+++ b/src/core/frontend/election.h
@@ -4,8 +4,8 @@
 #include <functional>
 #include <string>
 
-#include "core/desk/asker.h"
-#include "core/desk/mirror.h"
+#include "core/frontend/asker.h"
+#include "core/frontend/mirror.h"
 
 namespace badgershore {
 
--- a/src/core/desk/frontdesk.cpp
+++ b/src/core/frontend/frontend.cpp
@@ -1,4 +1,4 @@
-#include "core/desk/frontdesk.h"
+#include "core/frontend/frontend.h"
 
 namespace badgershore {
 namespace {
@@ -12,13 +12,13 @@
 
 }  // namespace
 
-void Frontdesk::Answer(RequestId token, int status, const std::string& id, Phase phase, int done,
-                       int running) {
+void Frontend::Answer(RequestId token, int status, const std::string& id, Phase phase, int done,
+                      int running) {
   asker_->out.answers.push_back({token, status, id, phase, done, running, "", 0});
 }
 
-void Frontdesk::Refuse(RequestId token, int status, const std::string& id, std::string reason,
-                       int retry_after_s) {
+void Frontend::Refuse(RequestId token, int status, const std::string& id, std::string reason,
+                      int retry_after_s) {
   UserAnswer a;
   a.token = token;
   a.status = status;
@@ -28,7 +28,7 @@
   asker_->out.answers.push_back(std::move(a));
 }
 
-void Frontdesk::Remember(const std::string& id, const EndRecord& end) {
+void Frontend::Remember(const std::string& id, const EndRecord& end) {
   if (!finals_.emplace(id, end).second) return;
   finals_order_.push_back(id);
   if (finals_order_.size() > kFinals) {
@@ -37,7 +37,7 @@
   }
 }
 
-bool Frontdesk::AnswerFinal(RequestId token, const std::string& id) {
+bool Frontend::AnswerFinal(RequestId token, const std::string& id) {
   auto it = finals_.find(id);
   if (it == finals_.end()) return false;
   const EndRecord& end = it->second;
@@ -46,13 +46,13 @@
   return true;
 }
 
-void Frontdesk::AnswerLive(RequestId token, const std::string& id) {
+void Frontend::AnswerLive(RequestId token, const std::string& id) {
   const JobDigest d = facts_.digest(id);
   Answer(token, 200, id, d.running > 0 ? Phase::kRunning : Phase::kPending, d.done, d.running);
 }
 
-void Frontdesk::Read(RequestId token, const std::string& id, int missing_status, std::string reason,
-                     OnRead live) {
+void Frontend::Read(RequestId token, const std::string& id, int missing_status, std::string reason,
+                    OnRead live) {
   if (AnswerFinal(token, id)) return;
   const auto unread = [=, this] { Refuse(token, 503, id, "the state service can't be read"); };
   asker_->State(GetOp(keys::kJob + id), [=, this](Micros now, StateReply& job) {
@@ -73,7 +73,7 @@
   });
 }
 
-void Frontdesk::Submit(Micros now, RequestId token, Submission submission) {
+void Frontend::Submit(Micros now, RequestId token, Submission submission) {
   const std::string id = submission.id;
   if (id.empty()) return Refuse(token, 400, id, submission.reason);
   const auto live = [=, this](Micros, const StateReply&) { AnswerLive(token, id); };
@@ -104,12 +104,12 @@
   });
 }
 
-void Frontdesk::Query(RequestId token, const std::string& id) {
+void Frontend::Query(RequestId token, const std::string& id) {
   Read(token, id, 404, "no such job",
        [=, this](Micros, const StateReply&) { AnswerLive(token, id); });
 }
 
-void Frontdesk::Withdraw(RequestId token, const std::string& id, int rounds) {
+void Frontend::Withdraw(RequestId token, const std::string& id, int rounds) {
   Read(token, id, 404, "no such job", [=, this](Micros now, const StateReply& job) {
     // Told before it is recorded, the leader starts nothing of it once its user has been answered.
     facts_.calls_off(now, id);
--- a/src/core/desk/frontdesk.h
+++ b/src/core/frontend/frontend.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <unordered_map>
 
-#include "core/desk/admission.h"
-#include "core/desk/asker.h"
+#include "core/frontend/admission.h"
+#include "core/frontend/asker.h"
 
 namespace badgershore {
 
@@ -17,7 +17,7 @@
   std::string reason;
 };
 
-class Frontdesk {
+class Frontend {
  public:
   struct Facts {
     // Empty: can run. Otherwise why it never can.
@@ -29,7 +29,7 @@
     // Display counts of a live job.
     std::function<JobDigest(const std::string&)> digest;
   };
-  Frontdesk(Asker* asker, Facts facts) : asker_(asker), facts_(std::move(facts)) {}
+  Frontend(Asker* asker, Facts facts) : asker_(asker), facts_(std::move(facts)) {}
 
   void Submit(Micros now, RequestId token, Submission submission);
   void Query(RequestId token, const std::string& id);
--- a/src/core/desk/warrant.h
+++ b/src/core/frontend/leader_authority.h
@@ -10,16 +10,16 @@
 
 #include <algorithm>
 
-#include "core/desk/election.h"
-#include "core/desk/mirror.h"
+#include "core/frontend/election.h"
+#include "core/frontend/mirror.h"
 
 namespace badgershore {
 
-class Warrant {
+class LeaderAuthority {
  public:
   // `jobs`: the copy of the live jobs' records, which a cancellation deletes.
-  Warrant(const Election* election, const Mirror* jobs, Micros cancel_within, Micros worker_lease,
-          Micros lease)
+  LeaderAuthority(const Election* election, const Mirror* jobs, Micros cancel_within,
+                  Micros worker_lease, Micros lease)
       : election_(election),
         jobs_(jobs),
         answering_(std::max(Seconds(0), cancel_within - worker_lease - kMargin)),
--- a/src/core/desk/mirror.h
+++ b/src/core/frontend/mirror.h
@@ -8,7 +8,7 @@
 #include <set>
 #include <string>
 
-#include "core/desk/asker.h"
+#include "core/frontend/asker.h"
 
 namespace badgershore {
 
--- a/src/core/reign/blame.cpp
+++ b/src/core/leader/blame.cpp
@@ -1,12 +1,12 @@
-#include "core/reign/blame.h"
+#include "core/leader/blame.h"
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
 
-#include "core/reign/book.h"
-#include "core/reign/dispatch.h"
-#include "core/reign/roster.h"
+#include "core/leader/dispatch.h"
+#include "core/leader/job_table.h"
+#include "core/leader/machine_table.h"
 
 namespace badgershore {
 namespace {
@@ -47,7 +47,7 @@
   // Of jobs that nothing speaks for, those that failed elsewhere too say nothing of this machine.
   int jobs = 0;
   for (const std::string& id : m->failed_jobs) {
-    const Job* other = book().Find(id);
+    const Job* other = job_table().Find(id);
     jobs += other && (Proven(*other) || other->failed_on.size() == 1);
   }
   v.machine_at_fault = jobs >= 2 || (m->failures_in_row >= kInARow &&
@@ -59,7 +59,7 @@
 void Blame::Condemn(Micros now, Job* job) {
   asker()->Info("job " + job->spec.id + " fails wherever it starts: one task at a time");
   job->probe_at = now;
-  for (const auto& [id, m] : roster().machines()) {
+  for (const auto& [id, m] : machine_table().machines()) {
     if (m->failed_jobs.erase(job->spec.id) > 0 && m->failed_jobs.empty()) m->failures_in_row = 0;
   }
   dispatch().Unbind(job);
--- a/src/core/reign/blame.h
+++ b/src/core/leader/blame.h
@@ -1,11 +1,11 @@
 // Whose fault it is that a task failed: its machine's or its job's. Decided here alone, from which
-// jobs fail on a machine and on which machines a job fails. What was learned goes with the reign; a
+// jobs fail on a machine and on which machines a job fails. What was learned goes with the term; a
 // new leader learns it again by one round of the job's tasks.
 #pragma once
 
+#include "core/leader/part.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
-#include "core/reign/part.h"
 
 namespace badgershore {
 
--- a/src/core/reign/checkins.cpp
+++ b/src/core/leader/checkins.cpp
@@ -1,9 +1,9 @@
-#include "core/reign/checkins.h"
+#include "core/leader/checkins.h"
 
-#include "core/reign/book.h"
-#include "core/reign/dispatch.h"
-#include "core/reign/recorder.h"
-#include "core/reign/roster.h"
+#include "core/leader/dispatch.h"
+#include "core/leader/job_table.h"
+#include "core/leader/machine_table.h"
+#include "core/leader/recorder.h"
 
 namespace badgershore {
 
@@ -11,32 +11,33 @@
 Micros Checkins::GoodUntil(const std::vector<Order>& orders) const {
   const bool starts = std::any_of(orders.begin(), orders.end(),
                                   [](const Order& o) { return o.verb == Order::Verb::kStart; });
-  return starts ? warrant().start_until() : kNever;
+  return starts ? authority().start_until() : kNever;
 }
 
 Checkins::Verdict Checkins::Take(Micros now, RequestId token, const Report& report,
                                  std::vector<Order>* orders) {
-  if (!warrant().MayAnswer(now)) return Verdict::kCannot;
+  if (!authority().MayAnswer(now)) return Verdict::kCannot;
   // Copies of reports come late, also of machines that are gone. Nothing about a machine changes
   // before it is proved that its worker still waits for this one's answer, or that it may.
-  if (roster().Buried(report.machine)) return Verdict::kStale;
-  Machine* m = roster().Find(report.machine);
+  if (machine_table().Buried(report.machine)) return Verdict::kStale;
+  Machine* m = machine_table().Find(report.machine);
   if (m && m->Passed(report)) return Verdict::kStale;
   // Starts go only to a worker that has seen this term: then no earlier leader's order counts.
   if (report.baton != election()->term()) return Greet(now, report, orders);
   if (!m) {
-    m = roster().Adopt(now, report.machine, report.endpoint, report.type, report.zone, report.spot);
+    m = machine_table().Adopt(now, report.machine, report.endpoint, report.type, report.zone,
+                              report.spot);
   }
   MayLive(now, m);
-  const bool fresh = roster().Absorb(now, m, report, true);
+  const bool fresh = machine_table().Absorb(now, m, report, true);
   m->checkin_seq = report.seq;
   m->greeted_at = {-1};
   if (!fresh) {  // a direct call's answer has overtaken it
     HaltsFor(*m, orders);
     return Verdict::kAnswer;
   }
-  roster().Resolve(now, m);
-  if (!m->recorded && warrant().MayStart(now)) {
+  machine_table().Resolve(now, m);
+  if (!m->recorded && authority().MayStart(now)) {
     recorder().Keep(now, m);
     m->held_checkins.push_back(token);
     m->held_since = now;
@@ -60,12 +61,12 @@
 }
 
 // How old such a report is can't be told, so nothing is taken from it. Its worker learns the term
-// from the answer and reports again, and what it runs of jobs that are over ends at once: reigns
+// from the answer and reports again, and what it runs of jobs that are over ends at once: terms
 // that follow each other quickly would else each keep it alive for another lease. A worker that
 // goes on reporting without the term does not hear the answers. They end then, so that its lease
 // surely runs out and nothing waits for it any longer.
 Checkins::Verdict Checkins::Greet(Micros now, const Report& report, std::vector<Order>* orders) {
-  if (Machine* m = roster().Find(report.machine)) {
+  if (Machine* m = machine_table().Find(report.machine)) {
     if (now > m->alive_until) {
       if (!m->resolved || !m->occupants.empty()) return Verdict::kCannot;  // they are dropped first
       m->greeted_at = now;
@@ -77,7 +78,7 @@
     MayLive(now, m);
   }
   for (const ReportedTask& t : report.tasks) {
-    if (t.state != RunState::kExited && !book().jobs().contains(t.ref.job)) {
+    if (t.state != RunState::kExited && !job_table().jobs().contains(t.ref.job)) {
       orders->push_back({Order::Verb::kHalt, t.ref, t.attempt, {}});
     }
   }
@@ -85,7 +86,7 @@
 }
 
 void Checkins::Dismiss() {
-  for (const auto& [id, m] : roster().machines()) {
+  for (const auto& [id, m] : machine_table().machines()) {
     for (const RequestId token : std::exchange(m->held_checkins, {})) {
       asker()->out.checkins.push_back({token, 503, "", 0, {}});
     }
@@ -96,11 +97,11 @@
 // up for it starts at once and not with its next report, seconds later.
 bool Checkins::HoldsOut(Micros now, const Machine& m) const {
   return options().hold_checkin.count > 0 && m.recorded && m.occupants.empty() && m.queue.empty() &&
-         !m.gone_at && roster().Ready(m, now) && warrant().MayStart(now);
+         !m.gone_at && machine_table().Ready(m, now) && authority().MayStart(now);
 }
 
 void Checkins::AnswerReady(Micros now) {
-  for (const auto& [id, m] : roster().machines()) {
+  for (const auto& [id, m] : machine_table().machines()) {
     if (m->held_checkins.empty() || !m->recorded) continue;
     if (m->occupants.empty() && m->queue.empty() && now - m->held_since < options().hold_checkin) {
       continue;
@@ -141,7 +142,7 @@
       if (!keep) orders->push_back({Order::Verb::kClear, o.ref, o.attempt, {}});
     }
   }
-  if (!warrant().MayStart(now) || !m->recorded || !m->resolved || !m->type) return;
+  if (!authority().MayStart(now) || !m->recorded || !m->resolved || !m->type) return;
   if (m->stage != MachineStage::kUp) return;
   for (auto& [key, o] : m->occupants) {
     if (!o.unsent || !o.job || o.job->called_off) continue;
@@ -150,7 +151,7 @@
     o.sent_seq = m->seq;
     orders->push_back({Order::Verb::kStart, o.ref, o.attempt, {}});
   }
-  if (!roster().Ready(*m, now)) return;
+  if (!machine_table().Ready(*m, now)) return;
   dispatch().BindWaiting(now);
   dispatch().StartFrom(now, m, orders);
   if (!m->occupants.empty()) m->idle_since = {-1};
--- a/src/core/reign/checkins.h
+++ b/src/core/leader/checkins.h
@@ -3,8 +3,8 @@
 
 #include <vector>
 
+#include "core/leader/part.h"
 #include "core/model/fleet.h"
-#include "core/reign/part.h"
 
 namespace badgershore {
 
@@ -22,7 +22,7 @@
   // An answer with these orders may leave this process until then.
   Micros GoodUntil(const std::vector<Order>& orders) const;
 
-  void Dismiss();  // the reign is over
+  void Dismiss();  // the term is over
 
  private:
   // To a worker that has not seen this term.
--- a/src/core/reign/dispatch.cpp
+++ b/src/core/leader/dispatch.cpp
@@ -1,12 +1,12 @@
 // Machines' queues, starts, and the paper's dispatch of waiting tasks.
-#include "core/reign/dispatch.h"
+#include "core/leader/dispatch.h"
 
-#include "core/place/autoscale.h"
-#include "core/reign/blame.h"
-#include "core/reign/book.h"
-#include "core/reign/ledger.h"
-#include "core/reign/roster.h"
-#include "core/reign/sharing.h"
+#include "core/leader/blame.h"
+#include "core/leader/job_table.h"
+#include "core/leader/machine_table.h"
+#include "core/leader/occupancy.h"
+#include "core/leader/sharing.h"
+#include "core/placement/autoscale.h"
 
 namespace badgershore {
 
@@ -29,8 +29,8 @@
                         std::vector<Order>* orders) {
   --job->queued;
   if (m->kept_for == job && --m->kept_tasks <= 0) m->kept_for = nullptr;  // the room is taken
-  const uint64_t attempt = ledger().NextAttempt();
-  ledger().Place(now, m, job, task, attempt);
+  const uint64_t attempt = occupancy().NextAttempt();
+  occupancy().Place(now, m, job, task, attempt);
   *used = *used + job->spec.need;
   orders->push_back({Order::Verb::kStart, {job->spec.id, task}, attempt, {}});
 }
@@ -40,7 +40,7 @@
   // A report's answer stays far below 64 KiB; the rest goes with the next one.
   while (orders->size() < 300) {
     // A full machine is the usual case when there is much to do: no look at every queue for it.
-    if (!book().least_need().Fits(m->type->size - used)) break;
+    if (!job_table().least_need().Fits(m->type->size - used)) break;
     if (TakePressing(now, m, &used, orders)) continue;
     if (TakeQueued(now, m, &used, orders)) continue;
     if (TakeRebound(now, m, &used, orders)) continue;
@@ -63,22 +63,23 @@
   if (now < keep_at_) return;
   keep_at_ = now + Seconds(1);
   std::map<int, Job*> oldest;  // by team
-  for (auto& [id, ptr] : book().jobs()) {
+  for (auto& [id, ptr] : job_table().jobs()) {
     Job* job = ptr.get();
     if (job->gang() || job->queued == 0 || !job->Unbegun(now, options().age_limit)) continue;
-    if (!ledger().LimitAllows(*job, 1) || roster().Held(*job)) continue;
+    if (!occupancy().LimitAllows(*job, 1) || machine_table().Held(*job)) continue;
     Job*& first = oldest[job->team];
     if (!first || job->arrived < first->arrived) first = job;
   }
   for (const auto& [team, job] : oldest) {
     Machine* best = nullptr;
-    for (const auto& [id, m] : roster().machines()) {
+    for (const auto& [id, m] : machine_table().machines()) {
       if (m->kept_for == job && now < m->kept_until) {
         best = m.get();
         break;
       }
-      if (!roster().Ready(*m, now) || m->reserved || (m->kept_for && now < m->kept_until) ||
-          !Allows(job->spec, *m->type, m->zone, m->spot) || !ledger().ZoneAllows(*job, m->zone) ||
+      if (!machine_table().Ready(*m, now) || m->reserved || (m->kept_for && now < m->kept_until) ||
+          !Allows(job->spec, *m->type, m->zone, m->spot) ||
+          !occupancy().ZoneAllows(*job, m->zone) ||
           !job->spec.need.Fits(m->type->size - m->GangUse())) {
         continue;
       }
@@ -119,9 +120,9 @@
     const bool better =
         before > 0 || (before == 0 && (claim > best_claim || (claim > 0 && claim == best_claim &&
                                                               job->arrived < best->job->arrived)));
-    if (!better || !ledger().LimitAllows(*job, 1)) continue;
-    if (!job->spec.need.Fits(RoomFor(*m, *job, *used, now)) || roster().Held(*job) ||
-        !ledger().ZoneAllows(*job, m->zone)) {
+    if (!better || !occupancy().LimitAllows(*job, 1)) continue;
+    if (!job->spec.need.Fits(RoomFor(*m, *job, *used, now)) || machine_table().Held(*job) ||
+        !occupancy().ZoneAllows(*job, m->zone)) {
       continue;
     }
     best = &entry;
@@ -151,8 +152,8 @@
 
 bool Dispatch::FitsHere(Micros now, const Job& job, const Machine& m, const Resources& used) const {
   return Allows(job.spec, *m.type, m.zone, m.spot) && !Shuns(now, job, m) &&
-         job.spec.need.Fits(RoomFor(m, job, used, now)) && !roster().Held(job) &&
-         ledger().ZoneAllows(job, m.zone);
+         job.spec.need.Fits(RoomFor(m, job, used, now)) && !machine_table().Held(job) &&
+         occupancy().ZoneAllows(job, m.zone);
 }
 
 void Dispatch::MoveHere(Micros now, Machine* m, Job* job, Resources* used,
@@ -168,7 +169,7 @@
 bool Dispatch::TakePressing(Micros now, Machine* m, Resources* used, std::vector<Order>* orders) {
   Job* best = nullptr;
   for (Job* job : sharing().pressing()) {
-    if (!Movable(now, job) || !ledger().LimitAllows(*job, 1)) continue;
+    if (!Movable(now, job) || !occupancy().LimitAllows(*job, 1)) continue;
     if (best) {
       const int before = sharing().Before(*job, *best);
       if (before < 0 || (before == 0 && std::make_tuple(job->spec.rank, job->arrived) >=
@@ -187,9 +188,9 @@
 // A task that has waited long in another machine's queue moves to this one, which has room.
 bool Dispatch::TakeRebound(Micros now, Machine* m, Resources* used, std::vector<Order>* orders) {
   Job* best = nullptr;
-  for (auto& [id, ptr] : book().jobs()) {
+  for (auto& [id, ptr] : job_table().jobs()) {
     Job* job = ptr.get();
-    if (!Movable(now, job) || !ledger().LimitAllows(*job, 1)) continue;
+    if (!Movable(now, job) || !occupancy().LimitAllows(*job, 1)) continue;
     const auto order = [&](const Job* j) {
       return std::make_tuple(-Claim(now, *j), j->spec.rank, j->spec.estimate);
     };
@@ -226,7 +227,7 @@
   m->idle_since = {-1};
 }
 
-// What a reign may spend on binding at once, in machines looked at: after a takeover hundreds of
+// What a term may spend on binding at once, in machines looked at: after a takeover hundreds of
 // jobs wait for hundreds of machines, and a leader that binds them all in one go loses its lease,
 // so that the next one stands before the same heap. The rest goes on with the next event.
 constexpr double kBindBudget = 20000;
@@ -244,9 +245,9 @@
   };
   std::vector<Candidate> ready;  // looked for once a call, and only where something is to be bound
   bool looked = false;
-  auto it = book().jobs().upper_bound(bound_last_);
-  for (size_t n = 0; n < book().jobs().size() && bind_budget_ > 0; ++n, ++it) {
-    if (it == book().jobs().end()) it = book().jobs().begin();
+  auto it = job_table().jobs().upper_bound(bound_last_);
+  for (size_t n = 0; n < job_table().jobs().size() && bind_budget_ > 0; ++n, ++it) {
+    if (it == job_table().jobs().end()) it = job_table().jobs().begin();
     bound_last_ = it->first;
     Job* job = it->second.get();
     while (!job->delayed.empty() && job->delayed.begin()->first <= now) {
@@ -254,20 +255,21 @@
       job->delayed.erase(job->delayed.begin());
     }
     if (job->gang() || job->waiting.empty() || job->queued >= options().bind_window ||
-        !ledger().LimitAllows(*job, 1) || roster().Held(*job) || blame().MayBind(now, *job) == 0) {
+        !occupancy().LimitAllows(*job, 1) || machine_table().Held(*job) ||
+        blame().MayBind(now, *job) == 0) {
       continue;
     }
     if (!std::exchange(looked, true)) {
-      bind_budget_ -= static_cast<double>(roster().machines().size());
-      for (auto& [mid, m] : roster().machines()) {
-        if (roster().Ready(*m, now)) ready.push_back({m.get(), m->GangUse()});
+      bind_budget_ -= static_cast<double>(machine_table().machines().size());
+      for (auto& [mid, m] : machine_table().machines()) {
+        if (machine_table().Ready(*m, now)) ready.push_back({m.get(), m->GangUse()});
       }
     }
     std::vector<Able> able;
     bind_budget_ -= static_cast<double>(ready.size() + job->waiting.size());
     for (const auto& [m, gangs] : ready) {
       if (!Allows(job->spec, *m->type, m->zone, m->spot)) continue;
-      if (!ledger().ZoneAllows(*job, m->zone) || Shuns(now, *job, *m)) continue;
+      if (!occupancy().ZoneAllows(*job, m->zone) || Shuns(now, *job, *m)) continue;
       const Resources open = RoomFor(*m, *job, gangs, now);
       if (!job->spec.need.Fits(open)) continue;
       able.push_back({m, open});
@@ -286,7 +288,7 @@
 }
 
 void Dispatch::Unbind(Job* job) {
-  for (const auto& [id, m] : roster().machines()) {
+  for (const auto& [id, m] : machine_table().machines()) {
     m->queue.erase(QueueKey{job->spec.rank, job->spec.estimate, job->spec.id});
   }
   for (int i = 0; i < job->spec.tasks; ++i) {
--- a/src/core/reign/dispatch.h
+++ b/src/core/leader/dispatch.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
+#include "core/leader/part.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
-#include "core/place/guardrails.h"
-#include "core/reign/part.h"
+#include "core/placement/guardrails.h"
 
 namespace badgershore {
 
--- a/src/core/reign/gangs.cpp
+++ b/src/core/leader/gangs.cpp
@@ -1,12 +1,12 @@
 // Gangs: all members at once or none.
-#include "core/reign/gangs.h"
+#include "core/leader/gangs.h"
 
-#include "core/place/autoscale.h"
-#include "core/reign/book.h"
-#include "core/reign/dispatch.h"
-#include "core/reign/ledger.h"
-#include "core/reign/roster.h"
-#include "core/reign/sharing.h"
+#include "core/leader/dispatch.h"
+#include "core/leader/job_table.h"
+#include "core/leader/machine_table.h"
+#include "core/leader/occupancy.h"
+#include "core/leader/sharing.h"
+#include "core/placement/autoscale.h"
 
 namespace badgershore {
 namespace {
@@ -24,7 +24,7 @@
 
 void Gangs::Tick(Micros now) {
   std::vector<Job*> gangs;
-  for (auto& [id, job] : book().jobs()) {
+  for (auto& [id, job] : job_table().jobs()) {
     if (job->gang() && !job->finishing) gangs.push_back(job.get());
   }
   // As in the machines' queues: by rank, then the smallest estimate, but the aged before all. What
@@ -43,7 +43,7 @@
   std::sort(gangs.begin(), gangs.end(),
             [&](const Job* a, const Job* b) { return order(a) < order(b); });
   waiting_.clear();
-  ledger().DropClaims();
+  occupancy().DropClaims();
   for (Job* job : gangs) {
     const bool waited = job->placed == 0;
     Follow(now, job);
@@ -53,12 +53,12 @@
       if (turn.others == 0) turn.at = now + kPressEvery;
     }
     // For one that fails wherever it starts nothing else is stopped.
-    if (job->placed > 0 || now < job->not_before || roster().Held(*job) || job->AtFault()) {
+    if (job->placed > 0 || now < job->not_before || machine_table().Held(*job) || job->AtFault()) {
       Release(job);
       continue;
     }
-    const bool allowed = ledger().LimitAllows(*job, job->left());
-    if (!allowed && !ledger().LimitCouldAllow(*job, job->left())) {
+    const bool allowed = occupancy().LimitAllows(*job, job->left());
+    if (!allowed && !occupancy().LimitCouldAllow(*job, job->left())) {
       Release(job);  // what is kept for it would stand empty
       job->limit_since = kNever;
     } else {
@@ -66,7 +66,7 @@
       job->limit_since = allowed ? kNever : std::min(job->limit_since, now);
     }
     // One that goes before its turn keeps its part while its machines are being cleared, too.
-    if (!allowed || pressed.at(job->team) == job) ledger().Claim(*job, job->left());
+    if (!allowed || pressed.at(job->team) == job) occupancy().Claim(*job, job->left());
   }
   for (Job* job : waiting_) ReserveFor(now, job, pressed.at(job->team) == job);
   if (now >= limit_look_at_) {
@@ -105,17 +105,17 @@
 
 void Gangs::Halt(Micros now, Job* job, Micros grace) {
   // All members are told at once: the save counts only within the peers' patience.
-  for (auto& [id, m] : roster().machines()) {
+  for (auto& [id, m] : machine_table().machines()) {
     bool any = false;
     for (auto it = m->occupants.begin(); it != m->occupants.end();) {
       Occupant& o = it->second;
       if (o.job == job && o.unsent) {
         const int task = o.ref.task;
         const uint64_t attempt = o.attempt;
-        it = ledger().Erase(m.get(), it);
+        it = occupancy().Erase(m.get(), it);
         const TaskState& t = job->tasks[static_cast<size_t>(task)];
         if (t.stage == TaskStage::kPlaced && t.machine == m.get() && t.attempt == attempt) {
-          book().TaskBack(now, job, task, {});
+          job_table().TaskBack(now, job, task, {});
         }
         continue;
       }
@@ -126,7 +126,7 @@
       }
       ++it;
     }
-    if (any) roster().HaltNow(now, m.get());
+    if (any) machine_table().HaltNow(now, m.get());
   }
   job->gang_stopping = true;
 }
@@ -137,14 +137,14 @@
     // Every member is proved gone; the next attempt is a new one.
     job->gang_attempt = 0;
     job->gang_ran = job->gang_stopping = false;
-    if (now >= job->not_before && !roster().Held(*job)) Place(now, job);
+    if (now >= job->not_before && !machine_table().Held(*job)) Place(now, job);
     return;
   }
   if (job->gang_stopping || job->placed == job->left()) return;
   // A member is missing. Before the gang has run, a replacement completes it; afterwards the
   // others have nothing to wait for.
   if (job->gang_ran) return Halt(now, job, {});
-  if (!roster().Held(*job)) Place(now, job);
+  if (!machine_table().Held(*job)) Place(now, job);
 }
 
 bool Gangs::MayStop(const Occupant& o, const Job& gang) const {
@@ -174,14 +174,14 @@
 // first.
 void Gangs::MakeLimitRoom(Micros now, const Job& gang) {
   // What the gang itself claims is not missing.
-  Resources missing = ledger().LimitShort(gang, 0);
+  Resources missing = occupancy().LimitShort(gang, 0);
   struct Choice {
     Micros lost;
     Machine* machine;
     Occupant* o;
   };
   std::vector<Choice> choices;
-  for (const auto& [id, m] : roster().machines()) {
+  for (const auto& [id, m] : machine_table().machines()) {
     for (auto& [key, o] : m->occupants) {
       if (o.exited() || o.team != gang.team) continue;
       if (o.halt) {
@@ -200,7 +200,7 @@
     missing = missing - c.o->need;
     told[c.machine->id] = c.machine;
   }
-  for (auto& [id, m] : told) roster().HaltNow(now, m);
+  for (auto& [id, m] : told) machine_table().HaltNow(now, m);
 }
 
 // What it costs, in CPU seconds, that the gang's member has this machine; nothing where it can't.
@@ -257,8 +257,9 @@
   double least = 0;
   for (const std::string& only : zones) {
     std::vector<Choice> choices;
-    for (auto& [id, m] : roster().machines()) {
-      if (!roster().Ready(*m, now) || !Allows(gang->spec, *m->type, m->zone, m->spot)) continue;
+    for (auto& [id, m] : machine_table().machines()) {
+      if (!machine_table().Ready(*m, now) || !Allows(gang->spec, *m->type, m->zone, m->spot))
+        continue;
       if ((!only.empty() && m->zone != only) || (m->reserved && m->reserved != gang)) continue;
       std::optional<double> cost = CostToClear(now, *m, *gang, pressed);
       if (!cost) continue;
@@ -310,7 +311,7 @@
 
 void Gangs::Release(Job* gang) {
   if (!std::exchange(gang->reserving, false)) return;
-  for (auto& [id, m] : roster().machines()) {
+  for (auto& [id, m] : machine_table().machines()) {
     if (m->reserved != gang) continue;
     m->reserved = nullptr;
     m->reserved_members = 0;
@@ -345,7 +346,7 @@
   asker()->Debug("clearing " + m->id + " for gang " + gang.spec.id + ", " +
                  std::to_string(static_cast<int>(lost)) + " CPU seconds lost");
   dispatch().Unbind(m);
-  roster().HaltNow(now, m);
+  machine_table().HaltNow(now, m);
 }
 
 // A member that left a gang still gathering (`alone`, refused) is replaced under the same attempt.
@@ -353,8 +354,8 @@
 // do nothing there, and here the new member would be counted under the old one's entry, which has
 // exited. Elsewhere its image would have to be fetched once more, so it is waited for.
 bool Gangs::AwaitsClear(Micros now, const Job& job, const std::vector<int>& members) const {
-  for (const auto& [id, m] : roster().machines()) {
-    if (!roster().Ready(*m, now)) continue;
+  for (const auto& [id, m] : machine_table().machines()) {
+    if (!machine_table().Ready(*m, now)) continue;
     for (int task : members) {
       if (m->occupants.contains({{job.spec.id, task}, job.gang_attempt})) return true;
     }
@@ -367,7 +368,7 @@
   for (int i = 0; i < job->spec.tasks; ++i) {
     if (job->tasks[static_cast<size_t>(i)].stage == TaskStage::kWaiting) members.push_back(i);
   }
-  if (members.empty() || !ledger().LimitAllows(*job, static_cast<int>(members.size())))
+  if (members.empty() || !occupancy().LimitAllows(*job, static_cast<int>(members.size())))
     return false;
   if (job->gang_attempt != 0 && AwaitsClear(now, *job, members)) return false;
   struct Room {
@@ -378,10 +379,11 @@
   if (job->spec.same_zone) zones = settings().zones;
   for (const std::string& only : zones) {
     std::vector<Room> rooms;
-    for (auto& [id, m] : roster().machines()) {
-      if (!roster().Ready(*m, now) || !Allows(job->spec, *m->type, m->zone, m->spot)) continue;
+    for (auto& [id, m] : machine_table().machines()) {
+      if (!machine_table().Ready(*m, now) || !Allows(job->spec, *m->type, m->zone, m->spot))
+        continue;
       if (!only.empty() && m->zone != only) continue;
-      if (!ledger().ZoneAllows(*job, m->zone) || (m->reserved && m->reserved != job)) continue;
+      if (!occupancy().ZoneAllows(*job, m->zone) || (m->reserved && m->reserved != job)) continue;
       rooms.push_back({m.get(), dispatch().RoomFor(*m, *job, m->Used(), now)});
     }
     std::map<std::string, int> in_zone = job->zone_count;
@@ -404,9 +406,9 @@
       chosen.push_back(best->machine);
     }
     if (chosen.size() != members.size()) continue;
-    if (job->gang_attempt == 0) job->gang_attempt = ledger().NextAttempt();
+    if (job->gang_attempt == 0) job->gang_attempt = occupancy().NextAttempt();
     for (size_t k = 0; k < members.size(); ++k) {
-      ledger().Place(now, chosen[k], job, members[k], job->gang_attempt)->unsent = true;
+      occupancy().Place(now, chosen[k], job, members[k], job->gang_attempt)->unsent = true;
     }
     Release(job);
     asker()->Debug("gang " + job->spec.id + " placed on " + chosen[0]->id + " after " +
--- a/src/core/reign/gangs.h
+++ b/src/core/leader/gangs.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <vector>
 
+#include "core/leader/part.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
-#include "core/reign/part.h"
 
 namespace badgershore {
 
--- a/src/core/reign/book.cpp
+++ b/src/core/leader/job_table.cpp
@@ -1,12 +1,12 @@
-#include "core/reign/book.h"
+#include "core/leader/job_table.h"
 
-#include "core/place/autoscale.h"
-#include "core/place/guardrails.h"
-#include "core/reign/gangs.h"
-#include "core/reign/ledger.h"
-#include "core/reign/recorder.h"
-#include "core/reign/roster.h"
-#include "core/reign/sharing.h"
+#include "core/leader/gangs.h"
+#include "core/leader/machine_table.h"
+#include "core/leader/occupancy.h"
+#include "core/leader/recorder.h"
+#include "core/leader/sharing.h"
+#include "core/placement/autoscale.h"
+#include "core/placement/guardrails.h"
 
 namespace badgershore {
 namespace {
@@ -23,12 +23,12 @@
 
 }  // namespace
 
-Job* Book::Find(const std::string& id) const {
+Job* JobTable::Find(const std::string& id) const {
   auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : it->second.get();
 }
 
-void Book::OnJobEntry(Micros now, const Entry& e) {
+void JobTable::OnJobEntry(Micros now, const Entry& e) {
   const std::string id = e.key.substr(keys::kJob.size());
   if (e.erased) {
     EndJob(now, id);
@@ -37,11 +37,11 @@
   }
 }
 
-void Book::AddJob(Micros now, const JobSpec& spec, uint64_t stamp) {
+void JobTable::AddJob(Micros now, const JobSpec& spec, uint64_t stamp) {
   if (jobs_.count(spec.id)) return;
   auto job = std::make_unique<Job>();
   job->spec = spec;
-  job->team = ledger().TeamOf(spec.team);
+  job->team = occupancy().TeamOf(spec.team);
   job->stamp = stamp;
   const int64_t today_ms = began_ms() + (now - began()).ToMillis();
   job->arrived = now - Millis(std::clamp<int64_t>(today_ms - spec.submitted_ms, 0, 86400000));
@@ -79,12 +79,12 @@
                  " estimate " + std::to_string(spec.estimate.ToSeconds()));
 }
 
-void Book::CallOff(Micros now, const std::string& id) {
+void JobTable::CallOff(Micros now, const std::string& id) {
   called_off_[id] = now + kCalledOff;
   if (Job* job = Find(id)) job->called_off = true;
 }
 
-void Book::GoOn(Micros now) {
+void JobTable::GoOn(Micros now) {
   for (auto it = called_off_.begin(); it != called_off_.end();) {
     if (now < it->second) {
       ++it;
@@ -95,22 +95,22 @@
   }
 }
 
-void Book::MarkPassedOver(Micros now) {
+void JobTable::MarkPassedOver(Micros now) {
   for (auto& [id, job] : jobs_) {
     job->passed_over = !job->gang() && now - job->moved_at > kPassedOver;
   }
 }
 
-void Book::CloseJob(Micros now, Job* job) {
-  for (auto& [id, m] : roster().machines()) {
+void JobTable::CloseJob(Micros now, Job* job) {
+  for (auto& [id, m] : machine_table().machines()) {
     m->queue.erase(QueueKey{job->spec.rank, job->spec.estimate, job->spec.id});
-    ledger().Disown(m.get(), job);
+    occupancy().Disown(m.get(), job);
     if (m->kept_for == job) m->kept_for = nullptr;
   }
   recorder().Over(now, *job);
 }
 
-void Book::EndJob(Micros now, const std::string& id) {
+void JobTable::EndJob(Micros now, const std::string& id) {
   auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   Job* job = it->second.get();
@@ -119,12 +119,12 @@
   sharing().Forget(job);
   asker()->Debug("job " + id + " over, " + std::to_string(job->done) + " tasks done");
   jobs_.erase(it);
-  for (auto& [mid, m] : roster().machines()) {
+  for (auto& [mid, m] : machine_table().machines()) {
     bool any = false;
     for (auto o = m->occupants.begin(); o != m->occupants.end();) {
       Occupant& occ = o->second;
       if (occ.ref.job == id && occ.unsent) {
-        o = ledger().Erase(m.get(), o);
+        o = occupancy().Erase(m.get(), o);
         continue;
       }
       if (occ.ref.job == id && !occ.exited()) {
@@ -134,17 +134,17 @@
       }
       ++o;
     }
-    if (any) roster().HaltNow(now, m.get());
+    if (any) machine_table().HaltNow(now, m.get());
   }
 }
 
-JobDigest Book::Digest(const std::string& id) const {
+JobDigest JobTable::Digest(const std::string& id) const {
   auto it = jobs_.find(id);
   if (it == jobs_.end()) return {id, 0, 0};
   return {id, it->second->done, it->second->running};
 }
 
-std::vector<JobDigest> Book::Digests() const {
+std::vector<JobDigest> JobTable::Digests() const {
   std::vector<JobDigest> out;
   for (const auto& [id, job] : jobs_) {
     if (out.size() >= 2000) break;
@@ -153,7 +153,7 @@
   return out;
 }
 
-void Book::MarkDone(Micros now, Job* job, int task) {
+void JobTable::MarkDone(Micros now, Job* job, int task) {
   const auto one = [&](int i) {
     TaskState& t = job->tasks[static_cast<size_t>(i)];
     if (t.stage == TaskStage::kDone) return;
@@ -175,7 +175,7 @@
   }
 }
 
-void Book::TaskBack(Micros now, Job* job, int task, Micros pause) {
+void JobTable::TaskBack(Micros now, Job* job, int task, Micros pause) {
   TaskState& t = job->tasks[static_cast<size_t>(task)];
   if (t.stage == TaskStage::kDone) return;
   t.stage = TaskStage::kWaiting;
@@ -191,12 +191,12 @@
 
 // Job by job, the earliest first, until a team's guarantee is used up: of an array as many tasks as
 // go into what is left of it, a gang or service whole or not at all.
-void Book::MarkGuaranteed(Micros now) {
+void JobTable::MarkGuaranteed(Micros now) {
   for (size_t i = 0; i < settings().teams.size(); ++i) {
     const int team = static_cast<int>(i);
     const Team& said = settings().teams[i];
     if (said.guarantee.cpu == 0 && said.guarantee.gpu == 0) continue;
-    Resources room = ledger().Guarantee(team);
+    Resources room = occupancy().Guarantee(team);
     room.mem = INT64_MAX / 2;
     std::vector<Job*> jobs;
     for (auto& [id, job] : jobs_) {
@@ -218,7 +218,7 @@
   }
 }
 
-void Book::NoteLeastNeed() {
+void JobTable::NoteLeastNeed() {
   bool first = true;
   for (auto& [id, job] : jobs_) {
     if (job->gang()) continue;
--- a/src/core/reign/book.h
+++ b/src/core/leader/job_table.h
@@ -6,15 +6,15 @@
 #include <string>
 #include <vector>
 
+#include "core/leader/part.h"
 #include "core/model/jobs.h"
-#include "core/reign/part.h"
 
 namespace badgershore {
 
 // Progress is kept in chunks of so many tasks.
 constexpr int kChunkTasks = 4096;
 
-class Book : public Part {
+class JobTable : public Part {
  public:
   using Part::Part;
   using Jobs = std::map<std::string, std::unique_ptr<Job>>;  // by id
--- a/src/core/reign/leader.cpp
+++ b/src/core/leader/leader.cpp
@@ -1,4 +1,4 @@
-#include "core/reign/leader.h"
+#include "core/leader/leader.h"
 
 #include <cassert>
 
@@ -21,38 +21,38 @@
 
 }  // namespace
 
-Leader::Leader(Reign reign, Micros now, int64_t time_of_day_ms)
-    : reign_(std::move(reign)),
-      scaler_(*reign_.options),
-      blame_(&reign_),
-      book_(&reign_),
-      ledger_(&reign_),
-      roster_(&reign_),
-      dispatch_(&reign_),
-      gangs_(&reign_),
-      recorder_(&reign_, now),
-      renter_(&reign_),
-      rights_(&reign_),
-      checkins_(&reign_),
-      sharing_(&reign_),
-      supervisor_(&reign_) {
-  reign_.began = ticked_at_ = now;
-  reign_.began_ms = time_of_day_ms;
-  reign_.scaler = &scaler_;
-  reign_.blame = &blame_;
-  reign_.book = &book_;
-  reign_.ledger = &ledger_;
-  reign_.roster = &roster_;
-  reign_.dispatch = &dispatch_;
-  reign_.gangs = &gangs_;
-  reign_.recorder = &recorder_;
-  reign_.renter = &renter_;
-  reign_.rights = &rights_;
-  reign_.checkins = &checkins_;
-  reign_.sharing = &sharing_;
-  reign_.supervisor = &supervisor_;
+Leader::Leader(LeaderContext context, Micros now, int64_t time_of_day_ms)
+    : context_(std::move(context)),
+      scaler_(*context_.options),
+      blame_(&context_),
+      job_table_(&context_),
+      occupancy_(&context_),
+      machine_table_(&context_),
+      dispatch_(&context_),
+      gangs_(&context_),
+      recorder_(&context_, now),
+      provisioner_(&context_),
+      rights_(&context_),
+      checkins_(&context_),
+      sharing_(&context_),
+      supervisor_(&context_) {
+  context_.began = ticked_at_ = now;
+  context_.began_ms = time_of_day_ms;
+  context_.scaler = &scaler_;
+  context_.blame = &blame_;
+  context_.job_table = &job_table_;
+  context_.occupancy = &occupancy_;
+  context_.machine_table = &machine_table_;
+  context_.dispatch = &dispatch_;
+  context_.gangs = &gangs_;
+  context_.recorder = &recorder_;
+  context_.provisioner = &provisioner_;
+  context_.rights = &rights_;
+  context_.checkins = &checkins_;
+  context_.sharing = &sharing_;
+  context_.supervisor = &supervisor_;
   jobs_mirror_ = std::make_unique<Mirror>(
-      reign_.asker, keys::kJob, [this](Micros t, const Entry& e) { book_.OnJobEntry(t, e); },
+      context_.asker, keys::kJob, [this](Micros t, const Entry& e) { job_table_.OnJobEntry(t, e); },
       [this](Micros) {
         if (std::exchange(jobs_loaded_, true)) return;
         // Progress is read after the jobs, so that each finds its job.
@@ -63,20 +63,20 @@
         LoadPrefix(keys::kLimits, "");
       },
       kNewsAtLeast);
-  warrant_ =
-      std::make_unique<Warrant>(reign_.election, jobs_mirror_.get(), reign_.settings->cancel_within,
-                                reign_.settings->worker_lease, reign_.options->lease);
-  reign_.warrant = warrant_.get();
+  authority_ = std::make_unique<LeaderAuthority>(
+      context_.election, jobs_mirror_.get(), context_.settings->cancel_within,
+      context_.settings->worker_lease, context_.options->lease);
+  context_.authority = authority_.get();
 }
 
-Leader::~Leader() { *reign_.alive = false; }
+Leader::~Leader() { *context_.alive = false; }
 
 void Leader::LoadPrefix(const std::string& prefix, const std::string& after) {
   StateOp op;
   op.kind = StateOp::Kind::kList;
   op.key = prefix;
   op.after = after;
-  reign_.asker->State(op, [=, this, alive = reign_.alive](Micros now, StateReply& r) {
+  context_.asker->State(op, [=, this, alive = context_.alive](Micros now, StateReply& r) {
     if (!*alive) return;
     // Not at once: in an outage that would use up the node's requests, and its users' with them.
     if (!r.ok()) return load_again_.push_back({now + kLoadPause, prefix, after});
@@ -93,10 +93,10 @@
   if (--loading_ > 0) return;
   ready_ = true;
   rights_.Begin(now);
-  reign_.asker->Info("term " + std::to_string(reign_.election->term()) +
-                     " ready: " + std::to_string(book_.jobs().size()) + " jobs, " +
-                     std::to_string(roster_.machines().size()) + " machines on record");
-  for (auto& [id, job] : book_.jobs()) {
+  context_.asker->Info("term " + std::to_string(context_.election->term()) +
+                       " ready: " + std::to_string(job_table_.jobs().size()) + " jobs, " +
+                       std::to_string(machine_table_.machines().size()) + " machines on record");
+  for (auto& [id, job] : job_table_.jobs()) {
     if (job->left() == 0) recorder_.Finish(id);
   }
   AnswerEarly(now);
@@ -111,16 +111,16 @@
     if (verdict == Verdict::kLater) continue;
     if (verdict == Verdict::kAnswer) {
       answer.status = 200;
-      answer.baton = reign_.election->term();
+      answer.baton = context_.election->term();
       answer.good_until = GoodUntil(answer.orders);
     }
-    reign_.asker->out.checkins.push_back(std::move(answer));
+    context_.asker->out.checkins.push_back(std::move(answer));
   }
 }
 
 void Leader::Dismiss() {
   for (const EarlyReport& e : std::exchange(early_, {})) {
-    reign_.asker->out.checkins.push_back({e.token, 503, "", 0, {}});
+    context_.asker->out.checkins.push_back({e.token, 503, "", 0, {}});
   }
   checkins_.Dismiss();
 }
@@ -146,26 +146,26 @@
   }
   for (const Load& load : due) LoadPrefix(load.prefix, load.after);
   while (!early_.empty() && now - early_.front().at > kEarlyPatience) {
-    reign_.asker->out.checkins.push_back({early_.front().token, 503, "", 0, {}});
+    context_.asker->out.checkins.push_back({early_.front().token, 503, "", 0, {}});
     early_.pop_front();
   }
   if (!ready_) return;
-  if (gap > kStoodStill) roster_.Awoke(now);
-  roster_.Watch(now);
-  if (!reign_.election->leads()) return;
+  if (gap > kStoodStill) machine_table_.Awoke(now);
+  machine_table_.Watch(now);
+  if (!context_.election->leads()) return;
   rights_.Tick(now);
-  book_.GoOn(now);
-  book_.MarkPassedOver(now);
-  book_.MarkGuaranteed(now);
+  job_table_.GoOn(now);
+  job_table_.MarkPassedOver(now);
+  job_table_.MarkGuaranteed(now);
   sharing_.Tick(now);
   supervisor_.Tick(now);
-  book_.NoteLeastNeed();
+  job_table_.NoteLeastNeed();
   gangs_.Tick(now);
   dispatch_.KeepForUnbegun(now);
   dispatch_.BindWaiting(now);
   checkins_.AnswerReady(now);
   recorder_.Write(now);
-  renter_.Tick(now);
+  provisioner_.Tick(now);
   assert(CountFault().empty());
 }
 
--- a/src/core/reign/leader.h
+++ b/src/core/leader/leader.h
@@ -1,4 +1,4 @@
-// One reign: everything that the leading controller knows and decides, in parts that each own what
+// One term: everything that the leading controller knows and decides, in parts that each own what
 // they name. It reads the durable records, then answers reports and ticks its parts.
 #pragma once
 
@@ -7,28 +7,28 @@
 #include <string>
 #include <vector>
 
-#include "core/desk/mirror.h"
-#include "core/place/autoscale.h"
-#include "core/reign/blame.h"
-#include "core/reign/book.h"
-#include "core/reign/checkins.h"
-#include "core/reign/dispatch.h"
-#include "core/reign/gangs.h"
-#include "core/reign/ledger.h"
-#include "core/reign/part.h"
-#include "core/reign/recorder.h"
-#include "core/reign/renter.h"
-#include "core/reign/rights.h"
-#include "core/reign/roster.h"
-#include "core/reign/sharing.h"
-#include "core/reign/supervisor.h"
+#include "core/frontend/mirror.h"
+#include "core/leader/blame.h"
+#include "core/leader/checkins.h"
+#include "core/leader/dispatch.h"
+#include "core/leader/gangs.h"
+#include "core/leader/job_table.h"
+#include "core/leader/machine_table.h"
+#include "core/leader/occupancy.h"
+#include "core/leader/part.h"
+#include "core/leader/provisioner.h"
+#include "core/leader/recorder.h"
+#include "core/leader/rights.h"
+#include "core/leader/sharing.h"
+#include "core/leader/supervisor.h"
+#include "core/placement/autoscale.h"
 
 namespace badgershore {
 
 class Leader {
  public:
-  // `reign`: the outside; began, and the parts, are filled in here.
-  Leader(Reign reign, Micros now, int64_t time_of_day_ms);
+  // `context`: the outside; began, and the parts, are filled in here.
+  Leader(LeaderContext context, Micros now, int64_t time_of_day_ms);
   ~Leader();
 
   void Tick(Micros now);
@@ -36,34 +36,34 @@
   // records are read all answers wait: they would keep tasks alive of jobs that are cancelled.
   using Verdict = Checkins::Verdict;
   Verdict Checkin(Micros now, RequestId token, const Report& report, std::vector<Order>* orders);
-  JobDigest Digest(const std::string& job) const { return book_.Digest(job); }
-  std::vector<JobDigest> Digests() const { return book_.Digests(); }
+  JobDigest Digest(const std::string& job) const { return job_table_.Digest(job); }
+  std::vector<JobDigest> Digests() const { return job_table_.Digests(); }
   Micros GoodUntil(const std::vector<Order>& orders) const { return checkins_.GoodUntil(orders); }
-  // The reign is over: whoever still waits for an answer is to look elsewhere.
+  // The term is over: whoever still waits for an answer is to look elsewhere.
   void Dismiss();
   void OnCell(Micros now, const limits::CellNote& note) { rights_.OnNote(now, note); }
-  void CallOff(Micros now, const std::string& job) { book_.CallOff(now, job); }
+  void CallOff(Micros now, const std::string& job) { job_table_.CallOff(now, job); }
   // It is recorded: halts leave at once, though this leader may be the one that can't read it.
   void CalledOff(Micros now, const std::string& job) {
-    book_.CallOff(now, job);
-    book_.EndJob(now, job);
+    job_table_.CallOff(now, job);
+    job_table_.EndJob(now, job);
   }
   const Rights& rights() const { return rights_; }
   bool recording() const { return recorder_.writing(); }
   bool ready() const { return ready_; }
-  bool Deaf(Micros now) const { return ready_ && roster_.Deaf(now); }
+  bool Deaf(Micros now) const { return ready_ && machine_table_.Deaf(now); }
   std::string Explain(Micros now, const std::string& job) const {
     return supervisor_.Explain(now, job);
   }
   // Where the counts kept as things change differ from a full count; empty: nowhere.
-  std::string CountFault() const { return ledger_.Fault(); }
+  std::string CountFault() const { return occupancy_.Fault(); }
 
  private:
   void LoadPrefix(const std::string& prefix, const std::string& after);
   void Loaded(Micros now);
   void AnswerEarly(Micros now);
 
-  Reign reign_;
+  LeaderContext context_;
   Micros ticked_at_{-1};
   bool ready_ = false;
   bool jobs_loaded_ = false;
@@ -74,7 +74,7 @@
   };
   std::vector<Load> load_again_;
   std::unique_ptr<Mirror> jobs_mirror_;
-  std::unique_ptr<Warrant> warrant_;
+  std::unique_ptr<LeaderAuthority> authority_;
   struct EarlyReport {
     Micros at;
     RequestId token = 0;
@@ -83,13 +83,13 @@
   std::deque<EarlyReport> early_;  // came before the records were read
   Autoscaler scaler_;
   Blame blame_;
-  Book book_;
-  Ledger ledger_;
-  Roster roster_;
+  JobTable job_table_;
+  Occupancy occupancy_;
+  MachineTable machine_table_;
   Dispatch dispatch_;
   Gangs gangs_;
   Recorder recorder_;
-  Renter renter_;
+  Provisioner provisioner_;
   Rights rights_;
   Checkins checkins_;
   Sharing sharing_;
--- a/src/core/reign/roster.cpp
+++ b/src/core/leader/machine_table.cpp
@@ -1,15 +1,15 @@
-// The reign's machines: what reports prove of each, silence, resolving after a takeover.
-#include "core/reign/roster.h"
+// The term's machines: what reports prove of each, silence, resolving after a takeover.
+#include "core/leader/machine_table.h"
 
-#include "core/place/guardrails.h"
-#include "core/reign/blame.h"
-#include "core/reign/book.h"
-#include "core/reign/checkins.h"
-#include "core/reign/dispatch.h"
-#include "core/reign/gangs.h"
-#include "core/reign/ledger.h"
-#include "core/reign/recorder.h"
-#include "core/reign/renter.h"
+#include "core/leader/blame.h"
+#include "core/leader/checkins.h"
+#include "core/leader/dispatch.h"
+#include "core/leader/gangs.h"
+#include "core/leader/job_table.h"
+#include "core/leader/occupancy.h"
+#include "core/leader/provisioner.h"
+#include "core/leader/recorder.h"
+#include "core/placement/guardrails.h"
 
 namespace badgershore {
 namespace {
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-void Roster::Load(Micros now, const MachineRecord& r) {
+void MachineTable::Load(Micros now, const MachineRecord& r) {
   Machine* m = Adopt(now, r.id, r.endpoint, r.type, r.zone, r.spot);
   if (!m->resolved) return;
   // An earlier leader may have sent it anything, and may have kept its lease alive for as long as
@@ -32,10 +32,10 @@
   m->alive_until = now + (settings().cancel_within - settings().worker_lease) +
                    settings().worker_lease.Scaled(1 + kClockDrift);
   unresolved_.push_back(m);
-  ledger().Review(m);
+  occupancy().Review(m);
 }
 
-bool Roster::Held(const Job& job) const {
+bool MachineTable::Held(const Job& job) const {
   if (job.called_off) return true;
   // A job recorded after this term began can't have been started by an earlier leader: that one
   // starts nothing past its lease, which ended before.
@@ -46,13 +46,13 @@
   return false;
 }
 
-Machine* Roster::Find(const std::string& id) const {
+Machine* MachineTable::Find(const std::string& id) const {
   auto it = machines_.find(id);
   return it == machines_.end() ? nullptr : it->second.get();
 }
 
-Machine* Roster::Adopt(Micros now, const std::string& id, const std::string& endpoint,
-                       const std::string& type, const std::string& zone, bool spot) {
+Machine* MachineTable::Adopt(Micros now, const std::string& id, const std::string& endpoint,
+                             const std::string& type, const std::string& zone, bool spot) {
   if (Machine* known = Find(id)) return known;
   auto m = std::make_unique<Machine>();
   m->id = id;
@@ -67,17 +67,17 @@
   return (machines_[id] = std::move(m)).get();
 }
 
-bool Roster::Ready(const Machine& m, Micros now) const {
+bool MachineTable::Ready(const Machine& m, Micros now) const {
   // What answers direct calls and reports to nobody can be told to stop, not to start.
   return m.stage == MachineStage::kUp && m.type && m.resolved && !m.retiring && !m.gone_at &&
          now - m.reported_at < options().silent_probe + settings().report_every &&
          now >= m.hold_off;
 }
 
-void Roster::Resolve(Micros now, Machine* m) {
+void MachineTable::Resolve(Micros now, Machine* m) {
   if (m->resolved) return;
   m->resolved = true;
-  ledger().Review(m);
+  occupancy().Review(m);
   unresolved_.erase(std::remove(unresolved_.begin(), unresolved_.end(), m), unresolved_.end());
   asker()->Debug("machine " + m->id + " resolved");
   if (unresolved_.empty()) {
@@ -87,21 +87,21 @@
 }
 
 // Proved not to be on the machine any more, and not to come there.
-void Roster::Gone(Micros now, Machine* m, Occupant* o) {
+void MachineTable::Gone(Micros now, Machine* m, Occupant* o) {
   Job* job = o->job;
   if (!job || o->exited()) return;
   const TaskState& t = job->tasks[static_cast<size_t>(o->ref.task)];
   if (t.stage == TaskStage::kPlaced && t.machine == m && t.attempt == o->attempt) {
-    book().TaskBack(now, job, o->ref.task, {});
+    job_table().TaskBack(now, job, o->ref.task, {});
   }
 }
 
-void Roster::DropAll(Micros now, Machine* m) {
+void MachineTable::DropAll(Micros now, Machine* m) {
   for (auto& [key, o] : m->occupants) Gone(now, m, &o);
-  ledger().Clear(m);
+  occupancy().Clear(m);
 }
 
-void Roster::Remove(Micros now, const std::string& id) {
+void MachineTable::Remove(Micros now, const std::string& id) {
   auto it = machines_.find(id);
   if (it == machines_.end()) return;
   Machine* m = it->second.get();
@@ -116,7 +116,7 @@
   machines_.erase(it);
 }
 
-void Roster::GiveBack(Micros now, Machine* m, const std::string& why) {
+void MachineTable::GiveBack(Micros now, Machine* m, const std::string& why) {
   if (m->stage == MachineStage::kReturning) return;
   // Past the lease it may be another leader's, with its work on it. What speaks against it is seen
   // again once the lease is confirmed.
@@ -126,10 +126,10 @@
                 std::to_string(static_cast<int>((now - m->rented_at).ToSeconds())) + " s");
   dispatch().Unbind(m);
   m->stage = MachineStage::kReturning;
-  renter().Return(m->id);
+  provisioner().Return(m->id);
 }
 
-void Roster::HaltNow(Micros now, Machine* m) {
+void MachineTable::HaltNow(Micros now, Machine* m) {
   if (m->endpoint.empty() || m->session == 0) return;
   (void)now;
   DirectOp op;
@@ -151,7 +151,7 @@
 }
 
 // Raises the baton at a machine and learns what is on it.
-void Roster::Probe(Micros now, Machine* m) {
+void MachineTable::Probe(Micros now, Machine* m) {
   if (m->probing || m->endpoint.empty()) return;
   m->probing = true;
   if (m->asked_at.count < 0) m->asked_at = now;
@@ -180,14 +180,14 @@
 }
 
 // Takes in what a report says. False: it is older than what is known.
-bool Roster::Absorb(Micros now, Machine* m, const Report& r, bool checkin) {
+bool MachineTable::Absorb(Micros now, Machine* m, const Report& r, bool checkin) {
   if (r.session < m->session || (r.session == m->session && r.seq <= m->seq)) return false;
   if (r.session > m->session && m->session != 0) {
     // The lease ran out over there: all of that session is gone, and its starts with it.
     for (auto it = m->occupants.begin(); it != m->occupants.end();) {
       if (!it->second.unsent) {
         Gone(now, m, &it->second);
-        it = ledger().Erase(m, it);
+        it = occupancy().Erase(m, it);
       } else {
         ++it;
       }
@@ -226,12 +226,12 @@
   for (const ReportedTask& t : r.tasks) {
     const auto key = std::make_pair(t.ref, t.attempt);
     listed.insert(key);
-    auto jt = book().jobs().find(t.ref.job);
-    Job* job = jt == book().jobs().end() ? nullptr : jt->second.get();
+    auto jt = job_table().jobs().find(t.ref.job);
+    Job* job = jt == job_table().jobs().end() ? nullptr : jt->second.get();
     if (job && (t.ref.task < 0 || t.ref.task >= job->spec.tasks)) job = nullptr;
     auto it = m->occupants.find(key);
     if (it == m->occupants.end()) {
-      ledger().Enter(m, t.ref, t.attempt, job);
+      occupancy().Enter(m, t.ref, t.attempt, job);
       it = m->occupants.find(key);
       Occupant& o = it->second;
       if (job) {
@@ -272,7 +272,7 @@
         o.job->began = true;
       }
     }
-    ledger().Became(&o, t.state);
+    occupancy().Became(&o, t.state);
   }
   for (auto it = m->occupants.begin(); it != m->occupants.end();) {
     Occupant& o = it->second;
@@ -286,7 +286,7 @@
       continue;
     }
     Gone(now, m, &o);
-    it = ledger().Erase(m, it);
+    it = occupancy().Erase(m, it);
   }
   if (m->GangUse().cpu > 0) m->gang_at = now;
   const bool idle = m->occupants.empty() && m->queue.empty();
@@ -298,16 +298,16 @@
   return true;
 }
 
-void Roster::Exited(Micros now, Machine* m, Occupant* o, ExitCause cause) {
-  ledger().Exited(m, o, cause);
+void MachineTable::Exited(Micros now, Machine* m, Occupant* o, ExitCause cause) {
+  occupancy().Exited(m, o, cause);
   Job* job = o->job;
   if (!job) return;
   TaskState& t = job->tasks[static_cast<size_t>(o->ref.task)];
   const bool current = t.stage == TaskStage::kPlaced && t.machine == m && t.attempt == o->attempt;
   if (cause == ExitCause::kDone) {
     blame().Done(now, m, job);
-    book().MarkDone(now, job, o->ref.task);
-    if (job->service() && current) book().TaskBack(now, job, o->ref.task, Seconds(1));
+    job_table().MarkDone(now, job, o->ref.task);
+    if (job->service() && current) job_table().TaskBack(now, job, o->ref.task, Seconds(1));
     return;
   }
   Micros pause;
@@ -324,10 +324,10 @@
   } else if (cause == ExitCause::kBusy) {
     pause = Seconds(1);
   }
-  if (current) book().TaskBack(now, job, o->ref.task, pause);
+  if (current) job_table().TaskBack(now, job, o->ref.task, pause);
 }
 
-bool Roster::Deaf(Micros now) const {
+bool MachineTable::Deaf(Micros now) const {
   if (up_ == 0 || last_reported_.count < 0 || now < patient_until_) return false;
   constexpr int kSurely = 8;  // reports that should have come in meanwhile
   return now - last_reported_ >
@@ -335,7 +335,7 @@
 }
 
 // Those that may hold gangs first: what waits for them is what hurts most, and there are few.
-int Roster::AskUnresolved(Micros now) {
+int MachineTable::AskUnresolved(Micros now) {
   int probes = 0;
   if (unresolved_.empty()) return probes;
   std::vector<Machine*> order = unresolved_;
@@ -354,12 +354,12 @@
 }
 
 // Workers that got no answer for 4 s have gone to other controllers and are sent back from there.
-void Roster::Awoke(Micros now) {
+void MachineTable::Awoke(Micros now) {
   patient_until_ = now + settings().report_every.Scaled(1.25) + Seconds(6);
   for (auto& [id, m] : machines_) m->missing_since = {-1};
 }
 
-void Roster::Watch(Micros now) {
+void MachineTable::Watch(Micros now) {
   // A leader that slept through its lease wakes up with all machines silent and all their leases
   // over by its own clock. Another leads by then: it gives nothing back and takes nothing for
   // ended before the state service has confirmed its lease anew, and lets them speak first.
@@ -371,7 +371,7 @@
       auto it = types().find(m->type_name);
       if (it != types().end()) {
         m->type = &it->second;
-        ledger().Review(m.get());
+        occupancy().Review(m.get());
       }
     }
     if (m->stage != MachineStage::kUp) continue;
@@ -457,7 +457,7 @@
   }
 }
 
-bool Roster::RisesAgain(Micros now, const std::string& id) {
+bool MachineTable::RisesAgain(Micros now, const std::string& id) {
   Micros& since = tombstones_.at(id);
   if (now - since <= settings().cloud_list_lag.Scaled(4) + Seconds(10)) return false;
   since = now;
--- a/src/core/reign/roster.h
+++ b/src/core/leader/machine_table.h
@@ -6,13 +6,13 @@
 #include <string>
 #include <vector>
 
+#include "core/leader/part.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
-#include "core/reign/part.h"
 
 namespace badgershore {
 
-class Roster : public Part {
+class MachineTable : public Part {
  public:
   using Part::Part;
   using Machines = std::map<std::string, std::unique_ptr<Machine>>;  // by id
--- a/src/core/reign/ledger.cpp
+++ b/src/core/leader/occupancy.cpp
@@ -1,11 +1,12 @@
-#include "core/reign/ledger.h"
+#include "core/leader/occupancy.h"
 
-#include "core/reign/book.h"
-#include "core/reign/roster.h"
+#include "core/leader/job_table.h"
+#include "core/leader/machine_table.h"
 
 namespace badgershore {
 
-Ledger::Ledger(const Reign* reign) : Part(reign), teams_(settings().teams.size() + 1) {
+Occupancy::Occupancy(const LeaderContext* context)
+    : Part(context), teams_(settings().teams.size() + 1) {
   for (size_t i = 0; i < settings().teams.size(); ++i) {
     const Resources& said = settings().teams[i].limit;
     teams_[i + 1].limit = {said.cpu > 0 ? said.cpu : limits::kUnlimited,
@@ -14,14 +15,14 @@
   }
 }
 
-int Ledger::TeamOf(const std::string& name) const {
+int Occupancy::TeamOf(const std::string& name) const {
   for (size_t i = 0; i < settings().teams.size(); ++i) {
     if (settings().teams[i].name == name) return static_cast<int>(i);
   }
   return -1;
 }
 
-Occupant* Ledger::Place(Micros now, Machine* m, Job* job, int task, uint64_t attempt) {
+Occupant* Occupancy::Place(Micros now, Machine* m, Job* job, int task, uint64_t attempt) {
   TaskState& t = job->tasks[static_cast<size_t>(task)];
   t.stage = TaskStage::kPlaced;
   t.machine = m;
@@ -37,7 +38,7 @@
   return o;
 }
 
-Occupant* Ledger::Enter(Machine* m, const TaskRef& ref, uint64_t attempt, Job* job) {
+Occupant* Occupancy::Enter(Machine* m, const TaskRef& ref, uint64_t attempt, Job* job) {
   auto [it, fresh] = m->occupants.try_emplace({ref, attempt});
   if (!fresh) {
     Uncount(m, &it->second);
@@ -60,7 +61,7 @@
   return &o;
 }
 
-void Ledger::Count(Machine* m, Occupant* o) {
+void Occupancy::Count(Machine* m, Occupant* o) {
   o->counted = true;
   m->used = m->used + o->need;
   TeamCount& team = teams_[static_cast<size_t>(o->team + 1)];
@@ -70,7 +71,7 @@
   Review(m);
 }
 
-void Ledger::Uncount(Machine* m, Occupant* o) {
+void Occupancy::Uncount(Machine* m, Occupant* o) {
   if (!std::exchange(o->counted, false)) return;
   m->used = m->used - o->need;
   TeamCount& team = teams_[static_cast<size_t>(o->team + 1)];
@@ -80,7 +81,7 @@
   Review(m);
 }
 
-void Ledger::Review(Machine* m) {
+void Occupancy::Review(Machine* m) {
   const bool murky = !m->resolved || m->unknown > 0;
   const Resources now = murky && m->type ? m->type->size - m->used : Resources{};
   doubt_ = doubt_ - m->doubt + now;
@@ -89,48 +90,48 @@
   m->doubt_unbounded = murky && !m->type;
 }
 
-void Ledger::Vacate(Occupant* o, const Machine& m) {
+void Occupancy::Vacate(Occupant* o, const Machine& m) {
   if (!o->job || o->exited()) return;
   --o->job->placed;
   --o->job->zone_count[m.zone];
   if (o->state == RunState::kRunning) --o->job->running;
 }
 
-void Ledger::Became(Occupant* o, RunState state) {
+void Occupancy::Became(Occupant* o, RunState state) {
   if (o->job && state == RunState::kRunning && o->state != RunState::kRunning) ++o->job->running;
   if (o->job && state != RunState::kRunning && o->state == RunState::kRunning) --o->job->running;
   o->state = state;
 }
 
-void Ledger::Exited(Machine* m, Occupant* o, ExitCause cause) {
+void Occupancy::Exited(Machine* m, Occupant* o, ExitCause cause) {
   Vacate(o, *m);
   Uncount(m, o);
   o->state = RunState::kExited;
   o->cause = cause;
 }
 
-Ledger::Occupants::iterator Ledger::Erase(Machine* m, Occupants::iterator it) {
+Occupancy::Occupants::iterator Occupancy::Erase(Machine* m, Occupants::iterator it) {
   Vacate(&it->second, *m);
   Uncount(m, &it->second);
   return m->occupants.erase(it);
 }
 
-void Ledger::Clear(Machine* m) {
+void Occupancy::Clear(Machine* m) {
   for (auto it = m->occupants.begin(); it != m->occupants.end();) it = Erase(m, it);
 }
 
-void Ledger::Disown(Machine* m, const Job* job) {
+void Occupancy::Disown(Machine* m, const Job* job) {
   for (auto& [key, o] : m->occupants) {
     if (o.job == job) o.job = nullptr;
   }
 }
 
-void Ledger::SetRights(int team, const Resources& limit, const Resources& guarantee) {
+void Occupancy::SetRights(int team, const Resources& limit, const Resources& guarantee) {
   teams_[static_cast<size_t>(team + 1)].limit = limit;
   teams_[static_cast<size_t>(team + 1)].guarantee = guarantee;
 }
 
-Resources Ledger::After(const Job& job, int more) const {
+Resources Occupancy::After(const Job& job, int more) const {
   const TeamCount& t = teams_[static_cast<size_t>(job.team + 1)];
   Resources use = t.used + doubt_ + job.spec.need.Times(more);
   for (int rank = 0; rank <= static_cast<int>(job.spec.rank); ++rank) {
@@ -144,7 +145,7 @@
   return use;
 }
 
-bool Ledger::LimitAllows(const Job& job, int more) const {
+bool Occupancy::LimitAllows(const Job& job, int more) const {
   if (!Limited(job.team)) return true;
   if (unbounded_ > 0) return false;
   const Resources& limit = Limit(job.team);
@@ -152,14 +153,14 @@
   return use.cpu <= limit.cpu && use.gpu <= limit.gpu;
 }
 
-Resources Ledger::LimitShort(const Job& job, int more) const {
+Resources Occupancy::LimitShort(const Job& job, int more) const {
   if (!Limited(job.team)) return {};
   const Resources& limit = Limit(job.team);
   const Resources use = After(job, more);
   return {std::max<int64_t>(0, use.cpu - limit.cpu), std::max<int64_t>(0, use.gpu - limit.gpu), 0};
 }
 
-bool Ledger::LimitCouldAllow(const Job& job, int more) const {
+bool Occupancy::LimitCouldAllow(const Job& job, int more) const {
   if (!Limited(job.team)) return true;
   Resources soft;
   const TeamCount& t = teams_[static_cast<size_t>(job.team + 1)];
@@ -170,7 +171,7 @@
   return unbounded_ == 0 && missing.cpu <= soft.cpu && missing.gpu <= soft.gpu;
 }
 
-int64_t Ledger::FirmRoom(int team, Rank rank) const {
+int64_t Occupancy::FirmRoom(int team, Rank rank) const {
   if (!Limited(team) || Limit(team).cpu >= limits::kUnlimited) return INT64_MAX;
   const TeamCount& t = teams_[static_cast<size_t>(team + 1)];
   int64_t firm = t.used.cpu;
@@ -178,7 +179,7 @@
   return std::max<int64_t>(0, t.limit.cpu - firm);
 }
 
-void Ledger::Claim(const Job& gang, int members) {
+void Occupancy::Claim(const Job& gang, int members) {
   if (!Limited(gang.team)) return;
   TeamCount& t = teams_[static_cast<size_t>(gang.team + 1)];
   const auto rank = static_cast<size_t>(gang.spec.rank);
@@ -187,11 +188,11 @@
   t.claims[rank] = t.claims[rank] + need;
 }
 
-void Ledger::DropClaims() {
+void Occupancy::DropClaims() {
   for (TeamCount& t : teams_) t.claims = t.first = {};
 }
 
-bool Ledger::ZoneAllows(const Job& job, const std::string& zone) const {
+bool Occupancy::ZoneAllows(const Job& job, const std::string& zone) const {
   if (job.spec.same_zone) {
     for (const auto& [z, n] : job.zone_count) {
       if (n > 0 && z != zone) return false;
@@ -204,7 +205,7 @@
   return true;
 }
 
-std::string Ledger::Summary() const {
+std::string Occupancy::Summary() const {
   std::string out;
   for (size_t i = 0; i < settings().teams.size(); ++i) {
     if (!Limited(static_cast<int>(i))) continue;
@@ -218,7 +219,7 @@
   return out;
 }
 
-std::string Ledger::Fault() const {
+std::string Occupancy::Fault() const {
   struct Tasks {
     int placed = 0, running = 0;
     std::map<std::string, int> zones;
@@ -226,7 +227,7 @@
   std::vector<TeamCount> teams(teams_.size());
   std::map<const Job*, Tasks> tasks;
   Resources doubt;
-  for (const auto& [id, m] : roster().machines()) {
+  for (const auto& [id, m] : machine_table().machines()) {
     Resources here;
     int unknown = 0;
     for (const auto& [key, o] : m->occupants) {
@@ -251,7 +252,7 @@
     return "the use of " + (i == 0 ? std::string("no team") : settings().teams[i - 1].name) + ": " +
            std::to_string(teams_[i].used.cpu) + " for " + std::to_string(teams[i].used.cpu);
   }
-  for (const auto& [id, job] : book().jobs()) {
+  for (const auto& [id, job] : job_table().jobs()) {
     const Tasks& t = tasks[job.get()];
     bool same = t.placed == job->placed && t.running == job->running;
     for (const auto& [zone, n] : job->zone_count) {
--- a/src/core/reign/ledger.h
+++ b/src/core/leader/occupancy.h
@@ -7,15 +7,15 @@
 #include <string>
 #include <vector>
 
+#include "core/leader/part.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
-#include "core/reign/part.h"
 
 namespace badgershore {
 
-class Ledger : public Part {
+class Occupancy : public Part {
  public:
-  explicit Ledger(const Reign* reign);
+  explicit Occupancy(const LeaderContext* context);
   using Occupants = std::map<std::pair<TaskRef, uint64_t>, Occupant>;
 
   // The team's number in the settings; -1: none.
--- a/src/core/reign/renter.cpp
+++ b/src/core/leader/provisioner.cpp
@@ -1,12 +1,12 @@
 // Dealings with the cloud.
-#include "core/reign/renter.h"
+#include "core/leader/provisioner.h"
 
-#include "core/reign/book.h"
-#include "core/reign/dispatch.h"
-#include "core/reign/ledger.h"
-#include "core/reign/recorder.h"
-#include "core/reign/rights.h"
-#include "core/reign/roster.h"
+#include "core/leader/dispatch.h"
+#include "core/leader/job_table.h"
+#include "core/leader/machine_table.h"
+#include "core/leader/occupancy.h"
+#include "core/leader/recorder.h"
+#include "core/leader/rights.h"
 
 namespace badgershore {
 namespace {
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-void Renter::Tick(Micros now) {
+void Provisioner::Tick(Micros now) {
   if (!asking_types_ && now >= types_at_) AskTypes(now);
   if (!listing_ && now >= list_at_) {
     listing_ = true;
@@ -31,7 +31,7 @@
   if (!returning_ && !return_queue_.empty() && now >= return_at_) SendReturns(now);
 }
 
-void Renter::AskTypes(Micros now) {
+void Provisioner::AskTypes(Micros now) {
   asking_types_ = true;
   (void)now;
   asker()->Cloud(CloudOp{}, Guarded([this](Micros t, CloudReply& r) {
@@ -61,7 +61,7 @@
                  }));
 }
 
-void Renter::ListMachines(Micros now, const std::string& after) {
+void Provisioner::ListMachines(Micros now, const std::string& after) {
   (void)now;
   CloudOp op;
   op.kind = CloudOp::Kind::kList;
@@ -81,7 +81,7 @@
         }
         // Once listed, a machine stays listed until it is gone; but a list may be older than the
         // one before, so an absence counts only after a while.
-        for (auto& [id, m] : roster().machines()) {
+        for (auto& [id, m] : machine_table().machines()) {
           if (!m->listed || m->stage == MachineStage::kReturning) continue;
           if (list_seen_.count(id)) {
             m->missing_since = {-1};
@@ -89,21 +89,21 @@
             m->missing_since = t;
           } else if (t - m->missing_since > settings().cloud_list_lag.Scaled(2) + Seconds(4) &&
                      t - m->heard_at > options().silent_probe) {
-            roster().GiveBack(t, m.get(), "gone from the cloud's list");
+            machine_table().GiveBack(t, m.get(), "gone from the cloud's list");
           }
         }
       }));
 }
 
-void Renter::Listed(Micros now, const ListedMachine& l) {
-  if (roster().Buried(l.id)) {
+void Provisioner::Listed(Micros now, const ListedMachine& l) {
+  if (machine_table().Buried(l.id)) {
     // Given back long ago and still there: once more.
-    if (roster().RisesAgain(now, l.id)) return_queue_.push_back(l.id);
+    if (machine_table().RisesAgain(now, l.id)) return_queue_.push_back(l.id);
     return;
   }
-  Machine* m = roster().Find(l.id);
+  Machine* m = machine_table().Find(l.id);
   if (!m) {
-    m = roster().Adopt(now, l.id, l.endpoint, l.type, l.zone, l.spot);
+    m = machine_table().Adopt(now, l.id, l.endpoint, l.type, l.zone, l.spot);
     m->rented_at = now - l.age;
   }
   if (!m->listed) {
@@ -111,10 +111,11 @@
     m->rented_at = std::min(m->rented_at, now - l.age);
     if (m->endpoint.empty()) m->endpoint = l.endpoint;
   }
-  if (l.phase == ListedMachine::Phase::kFailed) roster().GiveBack(now, m, "failed, says the cloud");
+  if (l.phase == ListedMachine::Phase::kFailed)
+    machine_table().GiveBack(now, m, "failed, says the cloud");
 }
 
-void Renter::Rent(Micros now, const Offer& offer, int count) {
+void Provisioner::Rent(Micros now, const Offer& offer, int count) {
   for (; count > kMostInRental; count -= kMostInRental) Rent(now, offer, kMostInRental);
   // A name is never used twice: the term is this leader's alone.
   const std::string name =
@@ -125,7 +126,7 @@
   SendRent(now, name);
 }
 
-void Renter::SendRent(Micros now, const std::string& name) {
+void Provisioner::SendRent(Micros now, const std::string& name) {
   (void)now;
   PendingRent& rent = pending_.at(name);
   rent.asking = true;
@@ -144,9 +145,9 @@
                    p.asking = false;
                    if (r.ok()) {
                      for (const std::string& id : r.rented) {
-                       if (roster().Buried(id)) continue;
-                       Machine* m =
-                           roster().Adopt(t, id, "", p.offer.type, p.offer.zone, p.offer.spot);
+                       if (machine_table().Buried(id)) continue;
+                       Machine* m = machine_table().Adopt(t, id, "", p.offer.type, p.offer.zone,
+                                                          p.offer.spot);
                        m->rented_at = std::min(m->rented_at, t);
                      }
                      if (r.rented.size() < static_cast<size_t>(p.count))
@@ -163,10 +164,10 @@
                  }));
 }
 
-void Renter::Scale(Micros now) {
+void Provisioner::Scale(Micros now) {
   scale_at_ = now + Seconds(1);
   // While what runs where is not known, the need isn't either.
-  if (!roster().unresolved().empty() && now - began() < Seconds(3)) return;
+  if (!machine_table().unresolved().empty() && now - began() < Seconds(3)) return;
   ScaleView view;
   view.now = now;
   view.reign_began = began();
@@ -174,7 +175,7 @@
   view.zones = &settings().zones;
   view.objectives = &settings().objectives;
   view.limit = [this](int team) {
-    const int64_t cpu = ledger().Limit(team).cpu;
+    const int64_t cpu = occupancy().Limit(team).cpu;
     return cpu < limits::kUnlimited ? cpu : INT64_MAX;
   };
   int64_t all_limits = 0;
@@ -183,10 +184,10 @@
     all_limits = limit < INT64_MAX ? all_limits + limit : INT64_MAX;
   }
   view.all_limits = all_limits;
-  view.gang_room = [this](int team, Rank rank) { return ledger().FirmRoom(team, rank); };
-  view.team_of = [this](const std::string& name) { return ledger().TeamOf(name); };
-  for (auto& [id, m] : roster().machines()) view.machines.push_back(m.get());
-  for (auto& [id, job] : book().jobs()) view.jobs.push_back(job.get());
+  view.gang_room = [this](int team, Rank rank) { return occupancy().FirmRoom(team, rank); };
+  view.team_of = [this](const std::string& name) { return occupancy().TeamOf(name); };
+  for (auto& [id, m] : machine_table().machines()) view.machines.push_back(m.get());
+  for (auto& [id, job] : job_table().jobs()) view.jobs.push_back(job.get());
   for (auto& [name, p] : pending_) {
     if (types().count(p.offer.type)) view.pending[p.offer] += p.count;
   }
@@ -203,33 +204,33 @@
       o.halt = any = true;
       o.grace = o.job->spec.save_time;
     }
-    if (any) roster().HaltNow(now, m);
+    if (any) machine_table().HaltNow(now, m);
     if (m->occupants.empty() && m->idle_since.count < 0) m->idle_since = now;
   }
   for (Machine* m : plan.give_back) {
-    if (m->occupants.empty() && m->queue.empty()) roster().GiveBack(now, m, "idle");
+    if (m->occupants.empty() && m->queue.empty()) machine_table().GiveBack(now, m, "idle");
   }
   for (const RentPlan& r : plan.rent) Rent(now, r.offer, r.count);
   CountPaid(now);
   if (now >= log_at_) {
     log_at_ = now + Seconds(5);
     int booting = 0, up = 0;
-    for (auto& [id, m] : roster().machines()) {
+    for (auto& [id, m] : machine_table().machines()) {
       booting += m->stage == MachineStage::kBooting;
       up += m->stage == MachineStage::kUp;
     }
     asker()->Debug("machines up " + std::to_string(up) + " booting " + std::to_string(booting) +
-                   " jobs " + std::to_string(book().jobs().size()) + "; " + scaler().Summary() +
-                   ledger().Summary() + rights().Summary());
+                   " jobs " + std::to_string(job_table().jobs().size()) + "; " +
+                   scaler().Summary() + occupancy().Summary() + rights().Summary());
   }
 }
 
-void Renter::CountPaid(Micros now) {
+void Provisioner::CountPaid(Micros now) {
   const double dt = paid_at_.count == 0 ? 0 : (now - paid_at_).ToSeconds();
   paid_at_ = now;
   bool work_waits = false;
-  for (auto& [id, job] : book().jobs()) work_waits |= job->queued > 0 || !job->waiting.empty();
-  for (auto& [id, m] : roster().machines()) {
+  for (auto& [id, job] : job_table().jobs()) work_waits |= job->queued > 0 || !job->waiting.empty();
+  for (auto& [id, m] : machine_table().machines()) {
     if (!m->type || m->type->size.cpu == 0) continue;
     Paid& p = paid_[Offer{m->type_name, "", m->spot}];
     p.held += dt;
@@ -261,7 +262,7 @@
   }
 }
 
-void Renter::SendReturns(Micros now) {
+void Provisioner::SendReturns(Micros now) {
   (void)now;
   returning_ = true;
   CloudOp op;
@@ -278,7 +279,7 @@
                      return;
                    }
                    // The cloud's word is the proof that the machines and all on them are gone.
-                   for (const std::string& id : names) roster().Remove(t, id);
+                   for (const std::string& id : names) machine_table().Remove(t, id);
                  }));
 }
 
--- a/src/core/reign/renter.h
+++ b/src/core/leader/provisioner.h
@@ -6,13 +6,13 @@
 #include <unordered_set>
 #include <vector>
 
+#include "core/leader/part.h"
 #include "core/model/fleet.h"
-#include "core/place/autoscale.h"
-#include "core/reign/part.h"
+#include "core/placement/autoscale.h"
 
 namespace badgershore {
 
-class Renter : public Part {
+class Provisioner : public Part {
  public:
   using Part::Part;
 
--- a/src/core/reign/recorder.cpp
+++ b/src/core/leader/recorder.cpp
@@ -1,11 +1,11 @@
 // Durable writes, one transaction at a time.
-#include "core/reign/recorder.h"
+#include "core/leader/recorder.h"
 
 #include <set>
 
-#include "core/reign/book.h"
-#include "core/reign/checkins.h"
-#include "core/reign/roster.h"
+#include "core/leader/checkins.h"
+#include "core/leader/job_table.h"
+#include "core/leader/machine_table.h"
 
 namespace badgershore {
 namespace {
@@ -46,8 +46,8 @@
   size_t changes = 0;  // what it costs of the state service's rate
 };
 
-Recorder::Recorder(const Reign* reign, Micros now)
-    : Part(reign),
+Recorder::Recorder(const LeaderContext* context, Micros now)
+    : Part(context),
       fleet_pages_(keys::kFleet, PageRoom(settings())),
       progress_pages_(keys::kProgress, PageRoom(settings())),
       write_tokens_(settings().state_write_rps * 0.5),
@@ -61,14 +61,14 @@
     Pages::Page* page = fleet_pages_.Adopt(e.key, e.stamp);
     for (const MachineRecord& r : fleet->machines) {
       fleet_pages_.Hold(page, r.id, MachineBytes(r));
-      roster().Load(now, r);
+      machine_table().Load(now, r);
     }
   }
 }
 
 void Recorder::LoadPiece(Micros now, Pages::Page* page, const ProgressPiece& piece) {
-  auto it = book().jobs().find(piece.job);
-  Job* job = it == book().jobs().end() ? nullptr : it->second.get();
+  auto it = job_table().jobs().find(piece.job);
+  Job* job = it == job_table().jobs().end() ? nullptr : it->second.get();
   if (!job || piece.chunk < 0 || static_cast<size_t>(piece.chunk) >= job->chunks.size()) {
     return progress_pages_.Touch(page, false, now);  // its job is over
   }
@@ -115,8 +115,8 @@
   if (pages == &fleet_pages_) {
     FleetPage value;
     for (const std::string& id : page.items) {
-      auto it = roster().machines().find(id);
-      if (it != roster().machines().end()) value.machines.push_back(RecordOf(*it->second));
+      auto it = machine_table().machines().find(id);
+      if (it != machine_table().machines().end()) value.machines.push_back(RecordOf(*it->second));
     }
     return value;
   }
@@ -124,8 +124,8 @@
   for (const std::string& item : page.items) {
     ProgressPiece p;
     if (!ParseProgressItem(item, &p.job, &p.chunk)) continue;
-    auto it = book().jobs().find(p.job);
-    if (it == book().jobs().end()) continue;
+    auto it = job_table().jobs().find(p.job);
+    if (it == job_table().jobs().end()) continue;
     p.bits = EncodeProgress(*it->second, p.chunk, kChunkTasks);
     value.pieces.push_back(std::move(p));
   }
@@ -142,8 +142,8 @@
     std::string id;
     int chunk = 0;
     if (!ParseProgressItem(item, &id, &chunk)) continue;
-    auto it = book().jobs().find(id);
-    if (it == book().jobs().end()) continue;
+    auto it = job_table().jobs().find(id);
+    if (it == job_table().jobs().end()) continue;
     const Job& job = *it->second;
     const int to = std::min(job.spec.tasks, (chunk + 1) * kChunkTasks);
     for (int i = chunk * kChunkTasks; i < to; ++i) {
@@ -203,8 +203,8 @@
   while (!finish_queue_.empty() && room(2)) {
     const std::string id = finish_queue_.front();
     finish_queue_.pop_front();
-    auto it = book().jobs().find(id);
-    if (it == book().jobs().end()) continue;
+    auto it = job_table().jobs().find(id);
+    if (it == job_table().jobs().end()) continue;
     op.guards.push_back({keys::kJob + id, it->second->stamp});
     op.guards.push_back({keys::kEnd + id, 0});
     op.changes.push_back({keys::kEnd + id, false, EndRecord{false, it->second->spec.tasks}, 0});
@@ -231,17 +231,18 @@
     for (const Batch::Piece& piece : batch->pieces) {
       piece.pages->Written(piece.page, piece.erased ? 0 : r.epoch);
       for (const std::string& id : piece.machines) {
-        Machine* m = roster().Find(id);
+        Machine* m = machine_table().Find(id);
         if (!m) continue;
         m->recorded = true;
         checkins().AnswerHeld(now, m);
       }
       for (const auto& [id, task] : piece.tasks) {
-        auto it = book().jobs().find(id);
-        if (it != book().jobs().end()) it->second->tasks[static_cast<size_t>(task)].saved = true;
+        auto it = job_table().jobs().find(id);
+        if (it != job_table().jobs().end())
+          it->second->tasks[static_cast<size_t>(task)].saved = true;
       }
     }
-    for (const std::string& id : batch->finish) book().EndJob(now, id);
+    for (const std::string& id : batch->finish) job_table().EndJob(now, id);
     return Write(now);
   }
   const bool conflict = r.outcome == StateReply::Outcome::kConflict;
@@ -268,7 +269,8 @@
     StateOp get;
     get.key = keys::kJob + id;
     asker()->State(get, Guarded([this, id](Micros t, StateReply& g) {
-                     if (g.outcome == StateReply::Outcome::kMissing) return book().EndJob(t, id);
+                     if (g.outcome == StateReply::Outcome::kMissing)
+                       return job_table().EndJob(t, id);
                      finish_queue_.push_back(id);
                    }));
   }
--- a/src/core/reign/recorder.h
+++ b/src/core/leader/recorder.h
@@ -7,16 +7,16 @@
 #include <memory>
 #include <string>
 
+#include "core/leader/part.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
 #include "core/model/pages.h"
-#include "core/reign/part.h"
 
 namespace badgershore {
 
 class Recorder : public Part {
  public:
-  Recorder(const Reign* reign, Micros now);
+  Recorder(const LeaderContext* context, Micros now);
 
   // A page as it was read after the win.
   void Load(Micros now, const Entry& e);
--- a/src/core/reign/rights.cpp
+++ b/src/core/leader/rights.cpp
@@ -1,9 +1,9 @@
-#include "core/reign/rights.h"
+#include "core/leader/rights.h"
 
 #include <algorithm>
 
-#include "core/reign/book.h"
-#include "core/reign/ledger.h"
+#include "core/leader/job_table.h"
+#include "core/leader/occupancy.h"
 
 namespace badgershore {
 namespace {
@@ -30,7 +30,7 @@
   return out;
 }
 
-Rights::Rights(const Reign* reign) : Part(reign), waits_(settings().teams.size()) {
+Rights::Rights(const LeaderContext* context) : Part(context), waits_(settings().teams.size()) {
   if (options().cells.cells.empty()) return;
   escrow_ = std::make_unique<limits::Escrow>(LimitsSettings(options().cells));
   limits::Amounts whole;
@@ -76,7 +76,7 @@
   std::vector<limits::Need> needs(teams);
   std::vector<Resources> waiting(teams), all(teams), largest(teams);
   std::vector<const Job*> gangs(teams, nullptr), allowed(teams, nullptr);
-  for (const auto& [id, job] : book().jobs()) {
+  for (const auto& [id, job] : job_table().jobs()) {
     if (job->team < 0 || job->finishing) continue;
     const auto t = static_cast<size_t>(job->team);
     all[t] = all[t] + job->spec.need.Times(job->left());
@@ -95,12 +95,12 @@
                           std::tie(gangs[t]->spec.rank, gangs[t]->spec.submitted_ms))) {
       gangs[t] = job.get();
     }
-    if (ledger().LimitAllows(*job, whole ? open : 1)) allowed[t] = job.get();
+    if (occupancy().LimitAllows(*job, whole ? open : 1)) allowed[t] = job.get();
   }
   for (size_t t = 0; t < teams; ++t) {
     const Team& team = settings().teams[t];
     limits::Need& need = needs[t];
-    const Resources used = ledger().Used(static_cast<int>(t)) + ledger().doubt();
+    const Resources used = occupancy().Used(static_cast<int>(t)) + occupancy().doubt();
     need.used = {used.cpu, used.gpu, 0, 0};
     // Where rights are there and work waits all the same, more rights would lie idle.
     waits_[t].since = allowed[t] ? std::min(waits_[t].since, now) : kNever;
@@ -128,8 +128,8 @@
   for (size_t t = 0; t < settings().teams.size(); ++t) {
     const std::string& name = settings().teams[t].name;
     const auto may = [&](limits::Kind kind) { return escrow_->Usable(name, kind); };
-    ledger().SetRights(static_cast<int>(t), {may(limits::kLimitCpu), may(limits::kLimitGpu), 0},
-                       {may(limits::kGuaranteeCpu), may(limits::kGuaranteeGpu), 0});
+    occupancy().SetRights(static_cast<int>(t), {may(limits::kLimitCpu), may(limits::kLimitGpu), 0},
+                          {may(limits::kGuaranteeCpu), may(limits::kGuaranteeGpu), 0});
   }
 }
 
--- a/src/core/reign/rights.h
+++ b/src/core/leader/rights.h
@@ -1,6 +1,6 @@
 // This cell's share of the teams' limits and guarantees, where there are several cells: its durable
-// record, what is told to and heard from other cells' leaders, and what of it the Ledger may use.
-// Where the cell is alone there is none of it, and the settings' word holds.
+// record, what is told to and heard from other cells' leaders, and what of it the Occupancy may
+// use. Where the cell is alone there is none of it, and the settings' word holds.
 #pragma once
 
 #include <map>
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "core/reign/part.h"
+#include "core/leader/part.h"
 #include "limits/escrow.h"
 
 namespace badgershore {
@@ -17,7 +17,7 @@
 
 class Rights : public Part {
  public:
-  explicit Rights(const Reign* reign);
+  explicit Rights(const LeaderContext* context);
 
   bool alone() const { return !escrow_; }
   // The record as read after the win; `stamp` 0: there is none.
--- a/src/core/reign/sharing.cpp
+++ b/src/core/leader/sharing.cpp
@@ -1,11 +1,11 @@
-#include "core/reign/sharing.h"
+#include "core/leader/sharing.h"
 
 #include <algorithm>
 
-#include "core/reign/book.h"
-#include "core/reign/dispatch.h"
-#include "core/reign/ledger.h"
-#include "core/reign/roster.h"
+#include "core/leader/dispatch.h"
+#include "core/leader/job_table.h"
+#include "core/leader/machine_table.h"
+#include "core/leader/occupancy.h"
 
 namespace badgershore {
 namespace {
@@ -20,8 +20,8 @@
 
 }  // namespace
 
-Sharing::Sharing(const Reign* reign)
-    : Part(reign),
+Sharing::Sharing(const LeaderContext* context)
+    : Part(context),
       shares_(settings().teams.size()),
       stopped_(settings().teams.size()),
       stopping_(settings().teams.size()) {}
@@ -36,8 +36,8 @@
 
 bool Sharing::Beyond(int team, const Resources& what) const {
   if (team < 0) return false;
-  const Resources left = ledger().Used(team) - stopping_[static_cast<size_t>(team)] - what;
-  const Resources& own = ledger().Guarantee(team);
+  const Resources left = occupancy().Used(team) - stopping_[static_cast<size_t>(team)] - what;
+  const Resources& own = occupancy().Guarantee(team);
   return left.cpu >= own.cpu && left.gpu >= own.gpu;
 }
 
@@ -49,7 +49,7 @@
   if (shares_.size() < 2 || now < at_) return;
   at_ = now + kLookEvery;
   for (Resources& r : stopping_) r = {};
-  for (const auto& [id, m] : roster().machines()) {
+  for (const auto& [id, m] : machine_table().machines()) {
     if (m->kept_for && now >= m->kept_until) m->kept_for = nullptr;
   }
   Weigh(now);
@@ -60,7 +60,7 @@
     }
   }
   if (short_of.empty() || !election()->MayStart(now)) return;
-  for (const auto& [id, m] : roster().machines()) {
+  for (const auto& [id, m] : machine_table().machines()) {
     for (const auto& [key, o] : m->occupants) {
       if (!o.halt || o.exited() || o.team < 0) continue;
       Resources& r = stopping_[static_cast<size_t>(o.team)];
@@ -75,17 +75,17 @@
 // Shares count only once there is not room for all that could start.
 void Sharing::Weigh(Micros now) {
   Resources all, free;
-  for (const auto& [id, m] : roster().machines()) {
-    if (!roster().Ready(*m, now)) continue;
+  for (const auto& [id, m] : machine_table().machines()) {
+    if (!machine_table().Ready(*m, now)) continue;
     all = all + m->type->size;
     free = free + (m->type->size - m->Used());
   }
   Resources wanted;
   for (Share& s : shares_) s = {};
-  for (const auto& [id, job] : book().jobs()) {
+  for (const auto& [id, job] : job_table().jobs()) {
     const int open = job->wanted() - job->placed;
     if (open <= 0 || job->finishing || job->team < 0) continue;
-    if (!ledger().LimitAllows(*job, 1)) continue;  // it waits for its own team
+    if (!occupancy().LimitAllows(*job, 1)) continue;  // it waits for its own team
     shares_[static_cast<size_t>(job->team)].wants = true;
     wanted = wanted + job->spec.need.Times(open);
   }
@@ -93,7 +93,7 @@
   double sum = 0;
   int active = 0;
   for (size_t i = 0; i < shares_.size(); ++i) {
-    const Resources& used = ledger().Used(static_cast<int>(i));
+    const Resources& used = occupancy().Used(static_cast<int>(i));
     shares_[i].dominant =
         std::max({Part_(used.cpu, all.cpu), Part_(used.gpu, all.gpu), Part_(used.mem, all.mem)});
     sum += shares_[i].dominant;
@@ -105,7 +105,7 @@
     any_over |= s.over;
   }
   pressing_.clear();
-  for (const auto& [id, job] : book().jobs()) {
+  for (const auto& [id, job] : job_table().jobs()) {
     if (job->gang() || job->team < 0 || job->wanted() == job->placed || job->finishing) continue;
     const Share& s = shares_[static_cast<size_t>(job->team)];
     const bool under = any_over && s.dominant * active < sum;
@@ -157,9 +157,9 @@
 
 std::vector<Sharing::Freed> Sharing::PlacesFor(Micros now, const Job& job, int tasks) const {
   std::vector<Freed> places;
-  for (const auto& [id, m] : roster().machines()) {
-    if (!roster().Ready(*m, now) || m->kept_for || m->reserved) continue;
-    if (!Allows(job.spec, *m->type, m->zone, m->spot) || !ledger().ZoneAllows(job, m->zone)) {
+  for (const auto& [id, m] : machine_table().machines()) {
+    if (!machine_table().Ready(*m, now) || m->kept_for || m->reserved) continue;
+    if (!Allows(job.spec, *m->type, m->zone, m->spot) || !occupancy().ZoneAllows(job, m->zone)) {
       continue;
     }
     Freed place;
@@ -175,10 +175,10 @@
 // takes stays within its guarantee and one that gives keeps its own, so no two take in turns.
 void Sharing::Reclaim(Micros now, Job* job) {
   int missing = std::min(job->within, job->left()) - job->placed;
-  for (const auto& [id, m] : roster().machines()) {
+  for (const auto& [id, m] : machine_table().machines()) {
     if (m->kept_for == job) missing -= m->kept_tasks;
   }
-  if (missing <= 0 || roster().Held(*job) || !ledger().LimitAllows(*job, 1)) return;
+  if (missing <= 0 || machine_table().Held(*job) || !occupancy().LimitAllows(*job, 1)) return;
   auto& [stopped, since] = stopped_[static_cast<size_t>(job->team)];
   if (now - since >= kStopWindow) {
     stopped = 0;
@@ -186,7 +186,7 @@
   }
   const int64_t most =
       std::max(job->spec.need.cpu,
-               static_cast<int64_t>(static_cast<double>(ledger().Guarantee(job->team).cpu) *
+               static_cast<int64_t>(static_cast<double>(occupancy().Guarantee(job->team).cpu) *
                                     options().reclaim_share));
   int tasks = 0, told = 0;
   for (const Freed& place : PlacesFor(now, *job, missing)) {
@@ -215,7 +215,7 @@
     place.machine->kept_until = now + kKeepRoom + save;
     tasks += holds;
     missing -= holds;
-    if (!place.victims.empty()) roster().HaltNow(now, place.machine);
+    if (!place.victims.empty()) machine_table().HaltNow(now, place.machine);
   }
   if (told > 0) {
     asker()->Debug("guarantee of " + job->spec.team + ": " + std::to_string(told) +
--- a/src/core/reign/sharing.h
+++ b/src/core/leader/sharing.h
@@ -4,15 +4,15 @@
 
 #include <vector>
 
+#include "core/leader/part.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
-#include "core/reign/part.h"
 
 namespace badgershore {
 
 class Sharing : public Part {
  public:
-  explicit Sharing(const Reign* reign);
+  explicit Sharing(const LeaderContext* context);
 
   void Tick(Micros now);
   // Whether `a` starts before `b` because of who sent them; 0: the paper's order decides.
--- a/src/core/reign/supervisor.cpp
+++ b/src/core/leader/supervisor.cpp
@@ -1,10 +1,10 @@
-#include "core/reign/supervisor.h"
+#include "core/leader/supervisor.h"
 
-#include "core/reign/book.h"
-#include "core/reign/dispatch.h"
-#include "core/reign/gangs.h"
-#include "core/reign/ledger.h"
-#include "core/reign/roster.h"
+#include "core/leader/dispatch.h"
+#include "core/leader/gangs.h"
+#include "core/leader/job_table.h"
+#include "core/leader/machine_table.h"
+#include "core/leader/occupancy.h"
 
 namespace badgershore {
 namespace {
@@ -19,11 +19,12 @@
 std::string Supervisor::WhyItWaits(Micros now, const Job& job) const {
   if (job.finishing) return "all done, its end waits to be written";
   if (job.called_off) return "its cancellation is being recorded";
-  if (roster().Held(job))
-    return Number(static_cast<int64_t>(roster().unresolved().size())) + " machines unresolved";
+  if (machine_table().Held(job))
+    return Number(static_cast<int64_t>(machine_table().unresolved().size())) +
+           " machines unresolved";
   if (!election()->MayStart(now)) return "the lease does not hold";
-  if (!warrant().MayStart(now)) return "what was cancelled of late is not known";
-  if (!ledger().LimitAllows(job, job.gang() ? job.left() - job.placed : 1))
+  if (!authority().MayStart(now)) return "what was cancelled of late is not known";
+  if (!occupancy().LimitAllows(job, job.gang() ? job.left() - job.placed : 1))
     return "its team's limit";
   if (job.gang() && job.gang_stopping) return "its last attempt is being stopped";
   if (now < job.not_before) return "a pause after failures";
@@ -32,13 +33,13 @@
     return "a pause after failures";
   }
   int able = 0, ready = 0, room = 0, unrecorded = 0;
-  for (const auto& [id, m] : roster().machines()) {
+  for (const auto& [id, m] : machine_table().machines()) {
     if (!m->type || !Allows(job.spec, *m->type, m->zone, m->spot) ||
-        !ledger().ZoneAllows(job, m->zone)) {
+        !occupancy().ZoneAllows(job, m->zone)) {
       continue;
     }
     ++able;
-    if (!roster().Ready(*m, now)) continue;
+    if (!machine_table().Ready(*m, now)) continue;
     ++ready;
     unrecorded += !m->recorded;
     room += job.spec.need.Fits(dispatch().RoomFor(*m, job, m->Used(), now));
@@ -52,8 +53,8 @@
 }
 
 std::string Supervisor::Explain(Micros now, const std::string& id) const {
-  auto it = book().jobs().find(id);
-  if (it == book().jobs().end()) return id + ": not known to the leader";
+  auto it = job_table().jobs().find(id);
+  if (it == job_table().jobs().end()) return id + ": not known to the leader";
   const Job& job = *it->second;
   std::string out = id + ": " + Number(job.done) + " of " + Number(job.spec.tasks) +
                     " tasks done, " + Number(job.placed) + " on machines, " + Number(job.running) +
@@ -75,7 +76,7 @@
 void Supervisor::Tick(Micros now) {
   if (now < at_) return;
   at_ = now + kLookEvery;
-  for (auto& [id, ptr] : book().jobs()) {
+  for (auto& [id, ptr] : job_table().jobs()) {
     Job* job = ptr.get();
     if (job->service() && job->placed == job->left()) continue;
     if (now - job->moved_at < Patience(*job) || now < job->told_stuck_at) continue;
@@ -100,7 +101,7 @@
   std::map<std::string, int> zones;
   std::vector<char> there(job->tasks.size(), 0);
   std::set<const Machine*> known;
-  for (auto& [id, m] : roster().machines()) {
+  for (auto& [id, m] : machine_table().machines()) {
     known.insert(m.get());
     for (auto& [key, o] : m->occupants) {
       if (o.job != job || o.exited()) continue;
@@ -121,7 +122,7 @@
       if (known.contains(t.machine)) {
         doubtful[t.machine->id] = t.machine;
       } else {
-        book().TaskBack(now, job, i, {});
+        job_table().TaskBack(now, job, i, {});
       }
     }
   }
@@ -134,7 +135,7 @@
   job->running = running;
   job->zone_count = zones;
   for (auto& [machine_id, m] : doubtful)
-    roster().GiveBack(now, m, "it and the leader differ on what it runs");
+    machine_table().GiveBack(now, m, "it and the leader differ on what it runs");
 }
 
 }  // namespace badgershore
--- a/src/core/reign/supervisor.h
+++ b/src/core/leader/supervisor.h
@@ -4,8 +4,8 @@
 
 #include <string>
 
+#include "core/leader/part.h"
 #include "core/model/jobs.h"
-#include "core/reign/part.h"
 
 namespace badgershore {
 
@@ -14,7 +14,7 @@
   using Part::Part;
 
   void Tick(Micros now);
-  // What the reign believes of a job, and why it waits: for people.
+  // What the term believes of a job, and why it waits: for people.
   std::string Explain(Micros now, const std::string& job) const;
 
  private:
--- a/src/core/model/fleet.h
+++ b/src/core/model/fleet.h
@@ -28,7 +28,7 @@
   uint64_t sent_session = 0, sent_seq = 0;  // of the report whose answer carried the start
   bool halt = false;
   Micros grace;
-  bool counted = false;  // in the ledger
+  bool counted = false;  // in the occupancy
   int soft = -1;         // its rank, where a gang of higher rank may stop it
   bool exited() const { return state == RunState::kExited; }
 };
@@ -105,7 +105,7 @@
   Micros failing_since;
   std::deque<std::string> images;  // most recent last
 
-  // The ledger keeps these: what has not exited, how many of jobs that are not known, and what
+  // The occupancy keeps these: what has not exited, how many of jobs that are not known, and what
   // else may be on it.
   Resources used;
   int unknown = 0;
--- a/src/core/place/autoscale.cpp
+++ b/src/core/placement/autoscale.cpp
@@ -1,4 +1,4 @@
-#include "core/place/autoscale.h"
+#include "core/placement/autoscale.h"
 
 #include <cmath>
 #include <limits>
--- a/src/core/place/autoscale.h
+++ b/src/core/placement/autoscale.h
@@ -60,7 +60,7 @@
   // New work, for the measure of what arrives.
   // `boot`: how long a new machine takes; work that can wait for one counts for nothing here.
   void ArrayArrived(const JobSpec& spec, Micros arrived, Micros now);
-  // A new leader hears of what came before its reign by what is not over yet.
+  // A new leader hears of what came before its term by what is not over yet.
   void Arrived(const JobSpec& spec, Micros slack, Micros boot, Micros arrived, Micros now);
   // How long the job may take from its arrival, by its deadline or its lane's objective.
   Micros Allowance(const JobSpec& spec, const std::vector<Objective>& objectives,
--- a/src/core/place/guardrails.cpp
+++ b/src/core/placement/guardrails.cpp
@@ -1,4 +1,4 @@
-#include "core/place/guardrails.h"
+#include "core/placement/guardrails.h"
 
 #include <cmath>
 #include <functional>
--- a/src/programs/rehearse.cpp
+++ b/src/programs/rehearse.cpp
@@ -413,7 +413,7 @@
   try {
     if (*model && of == "leadership") return Model(check::ElectionModel(lead), states);
     if (*model && of == "cancellations") {
-      cancel.planted = static_cast<check::PlantedInWarrant>(planted);
+      cancel.planted = static_cast<check::PlantedInAuthority>(planted);
       return Model(check::CancelModel(cancel), states);
     }
     if (*model) return Model(check::LimitsModel(plan), states);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "core/desk/frontdesk.h"
+#include "core/frontend/frontend.h"
 #include "core/model/effects.h"
 
 namespace badgershore::wire {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 
-#include "core/desk/admission.h"
+#include "core/frontend/admission.h"
 #include "core/model/jobs.h"
-#include "core/place/autoscale.h"
-#include "core/place/guardrails.h"
+#include "core/placement/autoscale.h"
+#include "core/placement/guardrails.h"
 
 namespace badgershore {
 namespace {
--- a/tests/election_model_test.cpp
+++ b/tests/election_model_test.cpp
@@ -69,22 +69,22 @@
 
 TEST(CancelModel, PlantedFaultsAreFound) {
   struct Fault {
-    PlantedInWarrant planted;
+    PlantedInAuthority planted;
     int troubles;
     std::vector<std::string> first;
     const char* name;
   };
   const std::vector<Fault> faults = {
-      {PlantedInWarrant::kRenewalIsKnowledge, 1, {}, "a renewal taken for knowledge"},
-      {PlantedInWarrant::kUnreadAnswers,
+      {PlantedInAuthority::kRenewalIsKnowledge, 1, {}, "a renewal taken for knowledge"},
+      {PlantedInAuthority::kUnreadAnswers,
        1,
        {"refuse a", "cancel", "hang b", "second", "second"},
        "answers before the jobs are read"},
-      {PlantedInWarrant::kArrivalIsKnowledge,
+      {PlantedInAuthority::kArrivalIsKnowledge,
        2,
        {"hang a", "second", "cancel", "second", "second", "second"},
        "counted from the answer's arrival"},
-      {PlantedInWarrant::kNoHaltInGreeting,
+      {PlantedInAuthority::kNoHaltInGreeting,
        2,
        {"refuse a", "cancel", "second", "second", "second"},
        "a greeting that stops nothing"}};
@@ -95,7 +95,7 @@
     plan.first = f.first;
     EXPECT_NE(ExploredWorld(CancelModel(plan), 60000, f.name).broken, "") << f.name;
     // The same from there without the fault.
-    plan.planted = PlantedInWarrant::kNone;
+    plan.planted = PlantedInAuthority::kNone;
     EXPECT_EQ(ExploredWorld(CancelModel(plan), 20000, "without").broken, "") << f.name;
   }
 }
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "core/desk/controller.h"
+#include "core/frontend/controller.h"
 
 namespace badgershore {
 namespace {
