--- a/src/check/explore.h
+++ b/src/check/explore.h
@@ -5,9 +5,11 @@
 // Key(), equal for equal states; Broken(), empty or what rule is broken.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -104,4 +106,41 @@
   return out;
 }
 
+// Plays long orders of events that are drawn, where there are too many to see them all. Whatever
+// names no other event than time or a delivery is a fault and drawn seldom. Each walk has its own
+// seed, so one that breaks can be played again.
+inline Outcome Walk(const std::function<std::unique_ptr<Play>()>& begin, uint64_t walks, int steps,
+                    uint64_t seed) {
+  constexpr double kTimeShare = 0.25, kFaultShare = 0.06;
+  Outcome out;
+  for (uint64_t walk = 0; walk < walks; ++walk) {
+    std::mt19937_64 random(seed + walk);
+    const auto chance = [&] { return std::uniform_real_distribution<double>(0, 1)(random); };
+    const std::unique_ptr<Play> play = begin();
+    std::vector<std::string> path;
+    for (int step = 0; step < steps; ++step) {
+      std::vector<std::string> time, deliveries, faults;
+      for (const std::string& event : play->Events()) {
+        const bool delivery = event.starts_with("delivered") || event.starts_with("proposes");
+        (event == "time" ? time : delivery ? deliveries : faults).push_back(event);
+      }
+      const double drawn = chance();
+      const bool fault = !faults.empty() && drawn < kFaultShare;
+      const bool pass = !time.empty() && (deliveries.empty() || drawn < kFaultShare + kTimeShare);
+      const auto& from = fault ? faults : pass ? time : deliveries;
+      if (from.empty()) break;
+      path.push_back(from[random() % from.size()]);
+      play->Do(path.back());
+      ++out.steps;
+      out.broken = play->Broken();
+      if (out.broken.empty()) continue;
+      out.path = path;
+      return out;
+    }
+    ++out.states;  // walks that were played to their end
+    out.depth = std::max(out.depth, static_cast<int>(path.size()));
+  }
+  return out;
+}
+
 }  // namespace badgershore::check
--- /dev/null
+++ b/src/check/replication_model.cpp
@@ -0,0 +1,305 @@
+#include "check/replication_model.h"
+
+#include <algorithm>
+#include <map>
+#include <sstream>
+
+#include "replication/core/replica.h"
+
+namespace badgershore::check {
+namespace {
+
+using replication::Effects;
+using replication::Message;
+using replication::Position;
+using replication::Replica;
+using replication::Stored;
+
+constexpr Micros kStep = Millis(350);
+constexpr Micros kLease = Millis(1000);
+constexpr size_t kReplicas = 3;
+constexpr Micros kMessageLife = Seconds(2);
+
+std::string Name(size_t i) { return std::string(1, static_cast<char>('a' + i)); }
+
+class World : public Play {
+ public:
+  struct Disk {
+    Stored stored;
+    std::vector<uint64_t> chain;  // the numbers of its batches: the state
+  };
+  struct Host {
+    Disk disk;
+    std::unique_ptr<Replica> replica;
+    bool still = false;  // nothing happens there while time passes
+
+    std::string ChainText() const {
+      std::string out;
+      for (const uint64_t batch : disk.chain) out += std::to_string(batch) + ".";
+      return out;
+    }
+  };
+  struct Sent {
+    size_t to = 0;
+    Message message;
+    Micros at;
+  };
+
+  explicit World(const ReplicationPlan& plan) : plan_(plan) {
+    for (size_t i = 0; i < kReplicas; ++i) {
+      hosts_[i].disk.stored.history = "h";
+      hosts_[i].disk.stored.member = true;
+      Start(i);
+    }
+    // A settled beginning: one leads and has committed a batch.
+    for (int tick = 0; tick < plan.first_leader_ticks; ++tick) {
+      Pass();
+      DeliverAll();
+    }
+    for (size_t i = 0; i < kReplicas; ++i) {
+      if (hosts_[i].replica->CanPropose()) Propose(i);
+    }
+    DeliverAll();
+    proposals_ = times_ = 0;
+  }
+
+  std::vector<std::string> Events() const override {
+    std::vector<std::string> out;
+    if (times_ < plan_.times) out.push_back("time");
+    for (size_t i = 0; i < kReplicas; ++i) {
+      const Host& host = hosts_[i];
+      if (ends_ < plan_.ends) out.push_back("ends " + Name(i));
+      if (wipes_ < plan_.wipes) out.push_back("wiped " + Name(i));
+      if (proposals_ < plan_.proposals && host.replica->CanPropose()) {
+        out.push_back("proposes " + Name(i));
+      }
+      if (host.still || times_ < plan_.times) out.push_back("still " + Name(i));
+    }
+    for (size_t m = 0; m < network_.size(); ++m) {
+      if (hosts_[network_[m].to].still) continue;
+      out.push_back("delivered " + std::to_string(m));
+      if (losses_ < plan_.losses) out.push_back("lost " + std::to_string(m));
+    }
+    return out;
+  }
+
+  void Do(const std::string& event) override {
+    const size_t space = event.find(' ');
+    const std::string what = event.substr(0, space);
+    if (what == "time") {
+      ++times_;
+      return Pass();
+    }
+    if (what == "delivered" || what == "lost") {
+      const size_t m = std::stoul(event.substr(space + 1));
+      const Sent sent = network_[m];
+      network_.erase(network_.begin() + static_cast<std::ptrdiff_t>(m));
+      losses_ += what == "lost";
+      if (what == "delivered") Deliver(sent);
+      return;
+    }
+    const auto i = static_cast<size_t>(event[space + 1] - 'a');
+    if (what == "ends") {
+      ++ends_;
+      End(i);
+    } else if (what == "wiped") {
+      ++wipes_;
+      hosts_[i].disk = Disk{};
+      Start(i);
+    } else if (what == "still") {
+      hosts_[i].still = !hosts_[i].still;
+    } else {
+      ++proposals_;
+      Propose(i);
+    }
+  }
+
+  std::string Key() const override {
+    std::ostringstream out;
+    out << now_.count << ' ' << times_ << ' ' << ends_ << ' ' << wipes_ << ' ' << losses_ << ' '
+        << proposals_ << ' ' << committed_.size();
+    for (size_t i = 0; i < kReplicas; ++i) {
+      const Host& host = hosts_[i];
+      const Replica& r = *host.replica;
+      out << '|' << static_cast<int>(r.role()) << r.ready() << host.still << ' ' << r.term() << ' '
+          << r.leader() << ' ' << r.stored().position.term << ',' << r.stored().position.index
+          << ' ' << r.stored().vote.term << r.stored().vote.candidate << r.stored().member << ' '
+          << r.MayServe(Clock(i)) << ' ' << r.Describe(Clock(i)) << ' ' << host.ChainText();
+    }
+    std::vector<std::string> messages;
+    for (const Sent& sent : network_) messages.push_back(Text(sent));
+    std::sort(messages.begin(), messages.end());
+    for (const std::string& m : messages) out << ';' << m;
+    return out.str();
+  }
+
+  std::string Broken() const override {
+    int serving = 0;
+    for (size_t i = 0; i < kReplicas; ++i) {
+      if (!hosts_[i].replica->MayServe(Clock(i))) continue;
+      ++serving;
+      const auto& chain = hosts_[i].disk.chain;
+      for (size_t k = 0; k < committed_.size(); ++k) {
+        if (k >= chain.size() || chain[k] != committed_[k]) {
+          return Name(i) + " may answer without a committed batch";
+        }
+      }
+    }
+    if (serving > 1) return "two may answer at the same time";
+    for (size_t i = 0; i < kReplicas; ++i) {
+      for (size_t k = i + 1; k < kReplicas; ++k) {
+        const Disk &a = hosts_[i].disk, &b = hosts_[k].disk;
+        const bool same = a.stored.position == b.stored.position && a.stored.position.index > 0;
+        if (same && a.chain != b.chain) return "two states at one position differ";
+      }
+    }
+    return "";
+  }
+
+ private:
+  static std::string Text(const Sent& sent) {
+    std::ostringstream out;
+    const Message& m = sent.message;
+    out << m.from << Name(sent.to) << m.body.index() << m.history;
+    if (const auto* v = std::get_if<replication::VoteRequest>(&m.body)) {
+      out << v->term << v->probe << v->position.term << ',' << v->position.index;
+    } else if (const auto* v = std::get_if<replication::VoteAnswer>(&m.body)) {
+      out << v->term << v->probe << v->granted;
+    } else if (const auto* a = std::get_if<replication::Append>(&m.body)) {
+      out << a->term << ' ' << a->sent.count;
+      if (a->entry) out << ' ' << a->entry->position.term << ',' << a->entry->position.index;
+    } else if (const auto* p = std::get_if<replication::ImagePart>(&m.body)) {
+      out << p->term << ' ' << p->sent.count << ' ' << p->position.index << p->bytes;
+    } else if (const auto* a = std::get_if<replication::AppendAnswer>(&m.body)) {
+      out << a->term << ' ' << a->sent.count << ' ' << a->position.term << ',' << a->position.index
+          << a->member;
+    }
+    return out.str();
+  }
+
+  Micros Clock(size_t i) const {
+    const bool slow = plan_.planted == PlantedInReplication::kSlowClock && i == 0;
+    return slow ? now_.Scaled(0.2) : now_;
+  }
+
+  void Start(size_t i) {
+    replication::Settings settings;
+    settings.self = Name(i);
+    for (size_t k = 0; k < kReplicas; ++k) settings.replicas.push_back(Name(k));
+    settings.lease = kLease;
+    settings.heartbeat = kStep;
+    settings.rejoin_after = Seconds(2);
+    hosts_[i].still = false;
+    Stored stored = hosts_[i].disk.stored;
+    if (plan_.planted == PlantedInReplication::kEmptyDiskCounts && stored.history.empty()) {
+      stored.history = "h";
+      stored.member = true;
+    }
+    hosts_[i].disk.stored = stored;
+    hosts_[i].replica = std::make_unique<Replica>(settings, stored, i + 1, Clock(i));
+  }
+
+  void End(size_t i) {
+    Disk& disk = hosts_[i].disk;
+    if (plan_.planted == PlantedInReplication::kForgetsState && !disk.chain.empty()) {
+      disk.chain.pop_back();
+      disk.stored.position = {};
+    }
+    Start(i);
+  }
+
+  void Pass() {
+    now_ += kStep;
+    for (size_t i = 0; i < kReplicas; ++i) {
+      if (hosts_[i].still) continue;
+      hosts_[i].replica->Tick(Clock(i));
+      Carry(i);
+    }
+    // What is older than this was given up by its sender's connection.
+    std::erase_if(network_, [&](const Sent& sent) { return sent.at + kMessageLife < now_; });
+  }
+
+  void Propose(size_t i) {
+    store::Batch batch;
+    batch.last_lease = ++next_batch_;  // which batch it is
+    hosts_[i].replica->Propose(Clock(i), std::move(batch));
+    Carry(i);
+  }
+
+  void Deliver(const Sent& sent) {
+    hosts_[sent.to].replica->OnMessage(Clock(sent.to), sent.message);
+    Carry(sent.to);
+  }
+
+  void DeliverAll() {
+    for (int round = 0; round < 200 && !network_.empty(); ++round) {
+      const Sent sent = network_.front();
+      network_.erase(network_.begin());
+      Deliver(sent);
+    }
+  }
+
+  // Carries out what the replica asks for; its disk is quick and fails only with the host.
+  void Carry(size_t i) {
+    Host& host = hosts_[i];
+    for (;;) {
+      Effects out = host.replica->Take();
+      for (auto& [to, message] : out.send) {
+        network_.push_back({static_cast<size_t>(to[0] - 'a'), std::move(message), now_});
+      }
+      for (const Position& position : out.committed) {
+        if (position == host.disk.stored.position) committed_ = host.disk.chain;
+        const auto* last = host.disk.chain.empty() ? nullptr : &host.disk.chain.back();
+        if (plan_.coverage)
+          ++(last && *last == 0 ? plan_.coverage->leaders : plan_.coverage->commits);
+      }
+      if (out.load_image) {
+        std::string bytes;
+        for (const uint64_t batch : host.disk.chain) bytes += static_cast<char>(batch);
+        bytes += '\0';  // a state is never without bytes
+        host.replica->OnImage(Clock(i), host.disk.stored.position, std::move(bytes));
+        continue;
+      }
+      if (!out.write) return;
+      const bool image = std::holds_alternative<replication::StoreImage>(*out.write);
+      if (plan_.coverage) plan_.coverage->images += image;
+      Store(&host.disk, *out.write);
+      host.replica->OnStored(Clock(i), true);
+    }
+  }
+
+  static void Store(Disk* disk, const replication::Write& write) {
+    if (const auto* vote = std::get_if<replication::StoreVote>(&write)) {
+      disk->stored.vote = vote->vote;
+      disk->stored.member = vote->member;
+    } else if (const auto* entry = std::get_if<replication::StoreEntry>(&write)) {
+      disk->stored.position = entry->entry.position;
+      disk->stored.history = entry->history;
+      disk->chain.push_back(entry->entry.batch ? entry->entry.batch->last_lease : 0);
+    } else if (const auto* image = std::get_if<replication::StoreImage>(&write)) {
+      disk->stored.position = image->position;
+      disk->stored.history = image->history;
+      disk->chain.assign(image->bytes.begin(), image->bytes.end() - 1);
+    }
+  }
+
+  ReplicationPlan plan_;
+  Host hosts_[kReplicas];
+  std::vector<Sent> network_;
+  std::vector<uint64_t> committed_;  // the longest chain that was told as committed
+  Micros now_ = Seconds(10);
+  uint64_t next_batch_ = 0;
+  int times_ = 0, ends_ = 0, wipes_ = 0, losses_ = 0, proposals_ = 0;
+};
+
+}  // namespace
+
+std::unique_ptr<Play> ReplicationPlay(const ReplicationPlan& plan) {
+  return std::make_unique<World>(plan);
+}
+
+Replayed ReplicationModel(const ReplicationPlan& plan) {
+  return Replayed([plan] { return ReplicationPlay(plan); });
+}
+
+}  // namespace badgershore::check
--- /dev/null
+++ b/tests/replication_test.cpp
@@ -0,0 +1,236 @@
+// The replicated state service: its protocol step by step, and explored with planted faults.
+#include <gtest/gtest.h>
+
+#include "check/replication_model.h"
+#include "replication/core/replica.h"
+
+namespace badgershore::replication {
+namespace {
+
+using check::Outcome;
+using check::PlantedInReplication;
+using check::ReplicationPlan;
+
+Outcome WalkThrough(const ReplicationPlan& plan, uint64_t walks) {
+  return check::Walk([&] { return check::ReplicationPlay(plan); }, walks, 160, 1);
+}
+
+ReplicationPlan LongPlan() {
+  ReplicationPlan plan;
+  plan.proposals = 12;
+  plan.ends = 4;
+  plan.losses = 12;
+  plan.times = 60;
+  return plan;
+}
+
+TEST(ReplicationModel, NoWalkBreaksIt) {
+  check::ReplicationCoverage seen;
+  ReplicationPlan plan = LongPlan();
+  plan.coverage = &seen;
+  const Outcome out = WalkThrough(plan, 3000);
+  EXPECT_GT(seen.commits, 10000u);
+  EXPECT_GT(seen.leaders, 4000u);  // each walk begins with one
+  EXPECT_GT(seen.images, 50u);
+  EXPECT_EQ(out.broken, "") << testing::PrintToString(out.path);
+  EXPECT_EQ(out.states, 3000u);
+  EXPECT_GT(out.depth, 100);
+}
+
+TEST(ReplicationModel, NoWalkWithALostDiskBreaksIt) {
+  ReplicationPlan plan = LongPlan();
+  plan.wipes = 1;
+  const Outcome out = WalkThrough(plan, 2000);
+  EXPECT_EQ(out.broken, "") << testing::PrintToString(out.path);
+}
+
+TEST(ReplicationModel, NoShortOrderBreaksIt) {
+  ReplicationPlan plan;
+  plan.proposals = 1;
+  plan.losses = 0;
+  plan.times = 3;
+  const Outcome out = check::Explore(check::ReplicationModel(plan), 8000);
+  EXPECT_EQ(out.broken, "") << testing::PrintToString(out.path);
+  EXPECT_GE(out.depth, 4);
+}
+
+class Planted : public testing::TestWithParam<PlantedInReplication> {};
+
+TEST_P(Planted, IsFound) {
+  ReplicationPlan plan = LongPlan();
+  plan.planted = GetParam();
+  plan.wipes = GetParam() == PlantedInReplication::kEmptyDiskCounts ? 1 : 0;
+  EXPECT_NE(WalkThrough(plan, 20000).broken, "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, Planted,
+                         testing::Values(PlantedInReplication::kForgetsState,
+                                         PlantedInReplication::kSlowClock,
+                                         PlantedInReplication::kEmptyDiskCounts));
+
+constexpr Micros kLease = Seconds(1);
+
+Settings Three(const std::string& self) {
+  Settings settings;
+  settings.self = self;
+  settings.replicas = {"a", "b", "c"};
+  settings.lease = kLease;
+  return settings;
+}
+
+Stored Member(Position position = {1, 5}) {
+  Stored stored;
+  stored.history = "h";
+  stored.member = true;
+  stored.position = position;
+  return stored;
+}
+
+template <typename Body>
+Message From(const std::string& name, Body body) {
+  return {name, "h", std::move(body)};
+}
+
+// What was sent as an answer to the message; the disk writes at once.
+template <typename Body>
+std::optional<Body> Answered(Replica* replica, Micros now, const Message& message) {
+  replica->OnMessage(now, message);
+  std::optional<Body> found;
+  for (int round = 0; round < 3; ++round) {
+    Effects out = replica->Take();
+    for (const auto& [to, sent] : out.send) {
+      if (const auto* body = std::get_if<Body>(&sent.body)) found = *body;
+    }
+    if (!out.write) break;
+    replica->OnStored(now, true);
+  }
+  return found;
+}
+
+bool Votes(Replica* replica, Micros now, const std::string& candidate, VoteRequest request) {
+  const auto answer = Answered<VoteAnswer>(replica, now, From(candidate, request));
+  return answer && answer->granted;
+}
+
+TEST(Replica, VotesOnceInATermAndAfterAnEndToo) {
+  Replica voter(Three("a"), Member(), 1, Seconds(10));
+  const VoteRequest request{7, false, {1, 5}};
+  EXPECT_TRUE(Votes(&voter, Seconds(12), "b", request));
+  EXPECT_FALSE(Votes(&voter, Seconds(12), "c", request));
+  EXPECT_EQ(voter.stored().vote, (Vote{7, "b"}));
+  // Its next life has only what the disk holds.
+  Replica again(Three("a"), voter.stored(), 2, Seconds(13));
+  EXPECT_FALSE(Votes(&again, Seconds(15), "c", request));
+  EXPECT_TRUE(Votes(&again, Seconds(15), "b", request));
+}
+
+TEST(Replica, VotesForNobodyWhoLacksWhatItHolds) {
+  Replica voter(Three("a"), Member({3, 9}), 1, Seconds(10));
+  EXPECT_FALSE(Votes(&voter, Seconds(12), "b", {8, false, {3, 8}}));
+  EXPECT_FALSE(Votes(&voter, Seconds(12), "b", {8, false, {2, 99}}));
+  EXPECT_TRUE(Votes(&voter, Seconds(12), "b", {8, false, {3, 9}}));
+}
+
+TEST(Replica, KeepsItsWordToALeaderForALease) {
+  Replica follower(Three("a"), Member(), 1, Seconds(10));
+  const Micros heard = Seconds(20);
+  follower.OnMessage(heard, From("b", Append{7, heard, std::nullopt}));
+  follower.Take();
+  const VoteRequest request{9, false, {1, 9}};
+  EXPECT_FALSE(Votes(&follower, heard + Millis(990), "c", request));
+  EXPECT_EQ(follower.term(), 7u);
+  EXPECT_TRUE(Votes(&follower, heard + kLease, "c", request));
+  // A life that has just begun may have given its word in the one before.
+  Replica again(Three("a"), Member(), 1, Seconds(30));
+  EXPECT_FALSE(Votes(&again, Seconds(30) + Millis(990), "c", request));
+}
+
+TEST(Replica, WithoutItsDiskNeitherVotesNorCounts) {
+  Replica empty(Three("a"), Stored{}, 1, Seconds(10));
+  EXPECT_FALSE(Votes(&empty, Seconds(15), "b", {8, false, {1, 9}}));
+  const Micros now = Seconds(16);
+  const auto answer = Answered<AppendAnswer>(&empty, now, From("b", Append{8, now, std::nullopt}));
+  ASSERT_TRUE(answer);
+  EXPECT_FALSE(answer->member);
+  const ImagePart part{8, now, {8, 10}, 0, 3, "abc"};
+  const auto installed = Answered<AppendAnswer>(&empty, now, From("b", part));
+  ASSERT_TRUE(installed);
+  EXPECT_EQ(installed->position, (Position{8, 10}));
+  EXPECT_FALSE(empty.stored().member);
+  // It counts once its last life's votes are surely over.
+  const Micros later = Seconds(21);
+  Answered<AppendAnswer>(&empty, later, From("b", Append{8, later, std::nullopt}));
+  EXPECT_TRUE(empty.stored().member);
+}
+
+TEST(Replica, NeverGoesBackToAnOlderState) {
+  Replica follower(Three("a"), Member({8, 20}), 1, Seconds(10));
+  const ImagePart part{9, Seconds(12), {8, 19}, 0, 3, "abc"};
+  const auto answer = Answered<AppendAnswer>(&follower, Seconds(12), From("b", part));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->position, (Position{8, 20}));
+}
+
+TEST(Replica, AnotherServicesMessagesAreDropped) {
+  Replica follower(Three("a"), Member(), 1, Seconds(10));
+  Message foreign = From("b", Append{7, Seconds(12), std::nullopt});
+  foreign.history = "other";
+  EXPECT_FALSE(Answered<AppendAnswer>(&follower, Seconds(12), foreign));
+  EXPECT_EQ(follower.leader(), "");
+}
+
+// A leader whose term has begun with a committed entry; `c` has not answered yet.
+Replica Leading(Micros now) {
+  Replica leader(Three("a"), Member(), 1, now - Seconds(3));
+  leader.Tick(now);
+  leader.Take();
+  const uint64_t term = leader.term() + 1;
+  leader.OnMessage(now, From("b", VoteAnswer{term, true, true}));
+  leader.Take();
+  leader.OnStored(now, true);
+  leader.OnMessage(now, From("b", VoteAnswer{term, false, true}));
+  leader.Take();
+  leader.OnStored(now, true);
+  leader.OnMessage(now, From("b", AppendAnswer{term, now, {term, 6}, true, 0}));
+  leader.Take();
+  return leader;
+}
+
+TEST(Replica, AnswersOnlyWhileAMajorityHasHeardIt) {
+  const Micros now = Seconds(13);
+  Replica leader = Leading(now);
+  EXPECT_TRUE(leader.MayServe(now));
+  EXPECT_TRUE(leader.MayServe(now + Millis(970)));
+  EXPECT_FALSE(leader.MayServe(now + Millis(990)));
+  const AppendAnswer heard{leader.term(), now + Millis(990), {1, 5}, true, 0};
+  leader.OnMessage(now + Millis(995), From("c", heard));
+  EXPECT_TRUE(leader.MayServe(now + Millis(995)));
+}
+
+TEST(Replica, CommitsWhatAMajorityHoldsAndNothingElse) {
+  const Micros now = Seconds(13);
+  Replica leader = Leading(now);
+  ASSERT_TRUE(leader.CanPropose());
+  const Position position = leader.Propose(now, store::Batch{});
+  leader.Take();
+  leader.OnStored(now, true);
+  EXPECT_TRUE(leader.Take().committed.empty());
+  // Whoever has lost its disk does not count, nor does another position.
+  leader.OnMessage(now, From("c", AppendAnswer{leader.term(), now, position, false, 0}));
+  leader.OnMessage(now, From("b", AppendAnswer{leader.term(), now, {1, 5}, true, 0}));
+  EXPECT_TRUE(leader.Take().committed.empty());
+  leader.OnMessage(now, From("b", AppendAnswer{leader.term(), now, position, true, 0}));
+  EXPECT_EQ(leader.Take().committed, std::vector<Position>{position});
+}
+
+TEST(Replica, AFailingDiskStopsLeading) {
+  const Micros now = Seconds(13);
+  Replica leader = Leading(now);
+  leader.Propose(now, store::Batch{});
+  leader.OnStored(now, false);
+  EXPECT_FALSE(leader.MayServe(now));
+  EXPECT_EQ(leader.role(), Replica::Role::kFollower);
+}
+
+}  // namespace
+}  // namespace badgershore::replication
