badgershore-state serves as one of three or five replicas

Cause: a lost state machine or disk lost accepted jobs. A directory that is no replica's is served as before, and one that is a replica's is refused alone. Engine writes an owner's note with a batch.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -25,7 +25,7 @@
 
 io::Task<void> Server::Serve(io::Socket socket) {
   ++connections_;
-  Parser parser(Parser::Kind::kRequest);
+  Parser parser(Parser::Kind::kRequest, limits_);
   std::string pending;
   bool open = true;
   while (open) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -19,8 +19,11 @@
 class Server {
  public:
   using Handler = std::function<io::Task<ServerAnswer>(Message)>;
-  Server(io::Loop* loop, Handler handler, size_t max_connections)
-      : loop_(loop), handler_(std::move(handler)), max_connections_(max_connections) {}
+  Server(io::Loop* loop, Handler handler, size_t max_connections, Limits limits = {})
+      : loop_(loop),
+        handler_(std::move(handler)),
+        max_connections_(max_connections),
+        limits_(limits) {}
 
   bool Start(const std::string& addr, std::string* error);
   std::string address() const { return listener_.LocalAddress(); }
@@ -32,6 +35,7 @@
   io::Loop* loop_;
   Handler handler_;
   size_t max_connections_;
+  Limits limits_;  // of a request
   size_t connections_ = 0;
   io::Socket listener_;
 };
--- a/src/programs/state.cpp
+++ b/src/programs/state.cpp
@@ -6,6 +6,8 @@
 
 #include "config/yaml.h"
 #include "programs/common.h"
+#include "replication/service/codec.h"
+#include "replication/service/service.h"
 #include "store/disk/archive.h"
 #include "store/service/service.h"
 #include "wire/store_messages.h"
@@ -39,6 +41,9 @@
 
 int Serve(const std::string& dir, const std::string& listen, const Settings& settings) {
   store::Engine engine(dir, store::Engine::Mode::kOwn, settings.engine);
+  if (!engine.LoadNote().empty()) {
+    throw store::DiskError(dir + ": is a replica's; serve it with --replicas and --name");
+  }
   for (const std::string& note : engine.notes()) spdlog::info("{}", note);
   std::signal(SIGPIPE, SIG_IGN);
   io::Loop loop;
@@ -58,6 +63,46 @@
   return 0;
 }
 
+// One of several replicas: its addresses are those of the set's file.
+int ServeReplica(const std::string& dir, const std::string& replicas, const std::string& name,
+                 const Settings& settings) {
+  const replication::ReplicaSet set = replication::LoadReplicaSet(replicas);
+  if (!set.Find(name)) throw config::Error("--name: expected one of the replicas in " + replicas);
+  store::Engine engine(dir, store::Engine::Mode::kOwn, settings.engine);
+  for (const std::string& note : engine.notes()) spdlog::info("{}", note);
+  std::signal(SIGPIPE, SIG_IGN);
+  io::Loop loop;
+  replication::ReplicatedService service(&loop, &engine, settings.limits, set, name,
+                                         static_cast<size_t>(settings.max_connections));
+  std::string error;
+  if (!service.Start(&error)) {
+    std::fprintf(stderr, "badgershore-state: %s\n", error.c_str());
+    return 1;
+  }
+  io::OnEndSignals(&loop, [&] { loop.Stop(); });
+  std::printf("listening on %s\n", service.address().c_str());
+  std::fflush(stdout);
+  loop.Run();
+  return 0;
+}
+
+// Makes a directory a replica's. Run on every replica before its first start, on equal contents.
+int Init(const std::string& dir, const std::string& replicas) {
+  const replication::ReplicaSet set = replication::LoadReplicaSet(replicas);
+  store::Engine engine(dir, store::Engine::Mode::kOwn);
+  if (!engine.LoadNote().empty()) throw store::DiskError(dir + ": is a replica's already");
+  const store::Image image = engine.Load();
+  std::string content = wire::FormatHeadLine(image);
+  for (const auto& [key, item] : image.items) content += wire::FormatItemLine(key, item);
+  const replication::Stored first = replication::FirstStored(set, store::Sha256(content));
+  if (engine.WriteWithNote(nullptr, replication::Encode(first)) != store::Written::kDurable) {
+    throw store::DiskError(dir + ": can't be written");
+  }
+  std::printf("%s is a replica's now: %zu keys at revision %llu\n", dir.c_str(), image.items.size(),
+              static_cast<unsigned long long>(image.epoch));
+  return 0;
+}
+
 int Look(const std::string& dir, bool dump) {
   store::Engine engine(dir, store::Engine::Mode::kLook);
   const store::Image image = engine.Load();
@@ -83,7 +128,7 @@
   CLI::App app{"badgershore-state: a small consistent store that keeps what it has answered"};
   app.set_version_flag("--version", std::string("badgershore-state ") + BADGERSHORE_VERSION);
   app.require_subcommand(1);
-  std::string dir, listen, options, file, log_format = "text";
+  std::string dir, listen, options, file, replicas, name, log_format = "text";
   bool check_only = false;
   programs::AddLogFormat(&app, &log_format);
   const auto verb = [&](const char* name, const char* help) {
@@ -93,9 +138,16 @@
     return sub;
   };
   CLI::App* serve = verb("serve", "Serve the state over HTTP");
-  serve->add_option("--listen", listen, "HOST:PORT; port 0 takes a free one")->required();
+  CLI::Option* listens =
+      serve->add_option("--listen", listen, "HOST:PORT; port 0 takes a free one");
+  CLI::Option* of_set =
+      serve->add_option("--replicas", replicas, "Be one of several replicas: their list (YAML)");
+  serve->add_option("--name", name, "Which of them this one is")->needs(of_set);
+  of_set->excludes(listens);
   serve->add_option("--options", options, "Limits and sizes (YAML)");
   serve->add_flag("--check", check_only, "Check the options and exit");
+  CLI::App* init = verb("init", "Make a directory a replica's, before its first start");
+  init->add_option("--replicas", replicas, "The replicas (YAML)")->required();
   CLI::App* check = verb("check", "Verify every record, also while it is served");
   CLI::App* dump = verb("dump", "Print every record, a JSON object a line");
   CLI::App* snapshot = verb("snapshot", "Write a consistent snapshot, also while it is served");
@@ -107,9 +159,13 @@
   try {
     if (*serve) {
       const Settings settings = ReadSettings(options);
+      if (!check_only && !replicas.empty()) return ServeReplica(dir, replicas, name, settings);
+      if (!check_only && listen.empty())
+        throw config::Error("serve: expected --listen or --replicas");
       if (!check_only) return Serve(dir, listen, settings);
       std::printf("options are good\n");
     }
+    if (*init) return Init(dir, replicas);
     if (*check || *dump) return Look(dir, static_cast<bool>(*dump));
     if (*snapshot) {
       store::Engine engine(dir, store::Engine::Mode::kLook);
--- a/src/replication/core/replica.cpp
+++ b/src/replication/core/replica.cpp
@@ -186,7 +186,7 @@
   sending_.clear();
   last_ = stored_.position;
   pending_.reset();
-  heartbeat_at_ = now;
+  heartbeat_at_ = majority_at_ = now;
   Heartbeat(now);
 }
 
@@ -334,6 +334,9 @@
 
 void Replica::Heartbeat(Micros now) {
   heartbeat_at_ = now + settings_.heartbeat;
+  if (MayServe(now)) majority_at_ = now;
+  // Cut from the majority it can do nothing for its clients, and another may lead already.
+  if (now > majority_at_ + settings_.lease.Scaled(2)) return StepDown(now, term_);
   // An earlier term's batches are committed only by an entry of this term on top of them.
   if (!ready_ && !pending_ && !writing_) {
     Begin(now, Entry{last_, {term_, last_.index + 1}, std::nullopt});
--- a/src/replication/core/replica.h
+++ b/src/replication/core/replica.h
@@ -165,6 +165,7 @@
   std::deque<Entry> recent_;  // the end of the chain, for followers that lag a little
   size_t recent_bytes_ = 0;
   Micros heartbeat_at_;
+  Micros majority_at_;  // a majority had heard it then
   bool loading_ = false;
   std::string sending_;  // the encoded state, while a peer wants it
   Position sending_position_;
--- /dev/null
+++ b/src/replication/service/codec.cpp
@@ -0,0 +1,123 @@
+#include "replication/service/codec.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/deque.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+
+namespace badgershore {
+
+template <class A>
+void serialize(A& a, Micros& m) {
+  a(m.count);
+}
+
+namespace store {
+template <class A>
+void serialize(A& a, Item& i) {
+  a(i.value, i.stamp, i.lease);
+}
+template <class A>
+void serialize(A& a, LogRow& r) {
+  a(r.stamp, r.key, r.value);
+}
+template <class A>
+void serialize(A& a, Batch& b) {
+  a(b.id, b.epoch, b.last_lease, b.compacted, b.items, b.leases, b.log);
+}
+template <class A>
+void serialize(A& a, Image& i) {
+  a(i.epoch, i.last_lease, i.compacted, i.items, i.leases, i.log);
+}
+}  // namespace store
+
+namespace replication {
+namespace {
+
+constexpr uint8_t kForm = 1;
+
+template <typename T>
+std::string Pack(const T& value) {
+  std::ostringstream out;
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(kForm, value);
+  }
+  return std::move(out).str();
+}
+
+template <typename T>
+std::optional<T> Unpack(std::string_view bytes) {
+  try {
+    std::istringstream in{std::string(bytes)};
+    cereal::PortableBinaryInputArchive archive(in);
+    uint8_t form = 0;
+    archive(form);
+    if (form != kForm) return std::nullopt;
+    T value;
+    archive(value);
+    return value;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+template <class A>
+void serialize(A& a, Position& p) {
+  a(p.term, p.index);
+}
+template <class A>
+void serialize(A& a, Entry& e) {
+  a(e.previous, e.position, e.batch);
+}
+template <class A>
+void serialize(A& a, Vote& v) {
+  a(v.term, v.candidate);
+}
+template <class A>
+void serialize(A& a, Stored& s) {
+  a(s.vote, s.position, s.history, s.member);
+}
+template <class A>
+void serialize(A& a, VoteRequest& m) {
+  a(m.term, m.probe, m.position);
+}
+template <class A>
+void serialize(A& a, VoteAnswer& m) {
+  a(m.term, m.probe, m.granted);
+}
+template <class A>
+void serialize(A& a, Append& m) {
+  a(m.term, m.sent, m.entry);
+}
+template <class A>
+void serialize(A& a, ImagePart& m) {
+  a(m.term, m.sent, m.position, m.offset, m.size, m.bytes);
+}
+template <class A>
+void serialize(A& a, AppendAnswer& m) {
+  a(m.term, m.sent, m.position, m.member, m.image_bytes);
+}
+template <class A>
+void serialize(A& a, Message& m) {
+  a(m.from, m.history, m.body);
+}
+
+std::string Encode(const Message& message) { return Pack(message); }
+std::string Encode(const store::Image& image) { return Pack(image); }
+std::string Encode(const Stored& stored) { return Pack(stored); }
+
+std::optional<Message> DecodeMessage(std::string_view bytes) { return Unpack<Message>(bytes); }
+std::optional<store::Image> DecodeImage(std::string_view bytes) {
+  return Unpack<store::Image>(bytes);
+}
+std::optional<Stored> DecodeStored(std::string_view bytes) { return Unpack<Stored>(bytes); }
+
+}  // namespace replication
+}  // namespace badgershore
--- a/src/store/disk/engine.cpp
+++ b/src/store/disk/engine.cpp
@@ -69,7 +69,7 @@
   }
 };
 
-const std::string kMeta = "m";
+const std::string kMeta = "m", kNote = "r";
 
 std::string BigEndian(uint64_t v) {
   std::string out(8, '\0');
@@ -300,7 +300,11 @@
   read.verify_checksums = true;
   s = db_->Get(read, kMeta, &meta);
   if (s.ok()) {
-    writes_ = Unpack<MetaRow>(kMeta, meta).writes;
+    const MetaRow row = Unpack<MetaRow>(kMeta, meta);
+    writes_ = row.writes;
+    epoch_ = row.epoch;
+    last_lease_ = row.last_lease;
+    compacted_ = row.compacted;
   } else if (!s.IsNotFound()) {
     throw DiskError(dir_ + ": " + OneLine(s.ToString()));
   }
@@ -341,6 +345,8 @@
         meta = true;
         break;
       }
+      case 'r':  // the owner's note
+        break;
       default:
         throw DiskError(dir_ + ": record " + key.ToString(true) + " is of no known kind");
     }
@@ -355,38 +361,91 @@
   return image;
 }
 
-Written Engine::Write(const Batch& batch) {
-  if (!db_) return Settle() == Written::kUnknown ? Written::kUnknown : Write(batch);
-  if (options_.free_bytes(dir_) < options_.reserve_bytes) return Written::kAbsent;
-  rocksdb::WriteBatch out;
-  expected_ = writes_ + 1;
-  Put(&out, MetaRow{batch.epoch, batch.last_lease, batch.compacted, expected_});
+namespace {
+
+void PutBatch(rocksdb::WriteBatch* out, const Batch& batch) {
   for (const auto& [key, item] : batch.items) {
     if (item) {
-      PutItem(&out, key, *item);
+      PutItem(out, key, *item);
     } else {
-      out.Delete("k" + key);
+      out->Delete("k" + key);
     }
   }
   for (const auto& [id, life] : batch.leases) {
     if (life) {
-      out.Put("l" + BigEndian(id), Pack(LeaseRow{life->count}));
+      out->Put("l" + BigEndian(id), Pack(LeaseRow{life->count}));
     } else {
-      out.Delete("l" + BigEndian(id));
+      out->Delete("l" + BigEndian(id));
     }
   }
-  PutLog(&out, batch.log);
-  // Dropping old rows by range costs later reads something, so it is done seldom.
-  const bool trim = batch.compacted > trimmed_ + kKeptChanges / 4;
-  if (trim) out.DeleteRange("c", ChangesKey(batch.compacted + 1));
+  PutLog(out, batch.log);
+}
+
+}  // namespace
+
+Written Engine::Commit(rocksdb::WriteBatch* out) {
   rocksdb::WriteOptions sync;
   sync.sync = true;
-  if (db_->Write(sync, &out).ok()) {
-    writes_ = expected_;
-    if (trim) trimmed_ = batch.compacted;
-    return Written::kDurable;
+  if (!db_->Write(sync, out).ok()) return Settle();
+  writes_ = expected_;
+  return Written::kDurable;
+}
+
+Written Engine::Write(const Batch& batch) { return WriteWithNote(&batch, ""); }
+
+Written Engine::WriteWithNote(const Batch* batch, const std::string& note) {
+  if (!db_) {
+    return Settle() == Written::kUnknown ? Written::kUnknown : WriteWithNote(batch, note);
+  }
+  if (options_.free_bytes(dir_) < options_.reserve_bytes) return Written::kAbsent;
+  rocksdb::WriteBatch out;
+  expected_ = writes_ + 1;
+  const MetaRow meta = batch ? MetaRow{batch->epoch, batch->last_lease, batch->compacted, expected_}
+                             : MetaRow{epoch_, last_lease_, compacted_, expected_};
+  Put(&out, meta);
+  if (batch) PutBatch(&out, *batch);
+  if (!note.empty()) out.Put(kNote, note);
+  // Dropping old rows by range costs later reads something, so it is done seldom.
+  const bool trim = meta.compacted > trimmed_ + kKeptChanges / 4;
+  if (trim) out.DeleteRange("c", ChangesKey(meta.compacted + 1));
+  const Written written = Commit(&out);
+  if (written != Written::kDurable) return written;
+  epoch_ = meta.epoch;
+  last_lease_ = meta.last_lease;
+  compacted_ = meta.compacted;
+  if (trim) trimmed_ = meta.compacted;
+  return written;
+}
+
+Written Engine::Replace(const Image& image, const std::string& note) {
+  if (!db_ && Settle() == Written::kUnknown) return Written::kUnknown;
+  if (options_.free_bytes(dir_) < options_.reserve_bytes) return Written::kAbsent;
+  rocksdb::WriteBatch out;
+  expected_ = writes_ + 1;
+  out.DeleteRange("c", "m");  // changes, items and leases
+  for (const auto& [key, item] : image.items) PutItem(&out, key, item);
+  for (const auto& [id, life] : image.leases) {
+    out.Put("l" + BigEndian(id), Pack(LeaseRow{life.count}));
   }
-  return Settle();
+  PutLog(&out, image.log);
+  Put(&out, MetaRow{image.epoch, image.last_lease, image.compacted, expected_});
+  out.Put(kNote, note);
+  const Written written = Commit(&out);
+  if (written != Written::kDurable) return written;
+  epoch_ = image.epoch;
+  last_lease_ = image.last_lease;
+  compacted_ = trimmed_ = image.compacted;
+  return written;
+}
+
+std::string Engine::LoadNote() {
+  std::string note;
+  if (!db_) return note;
+  rocksdb::ReadOptions read;
+  read.verify_checksums = true;
+  const rocksdb::Status s = db_->Get(read, kNote, &note);
+  if (!s.ok() && !s.IsNotFound()) throw DiskError(dir_ + ": " + OneLine(s.ToString()));
+  return s.ok() ? note : std::string();
 }
 
 // A failed write may be on the disk all the same. Opening the database again writes what its logs
@@ -431,6 +490,9 @@
   }
   Put(&out, MetaRow{image.epoch, image.last_lease, image.compacted, ++writes_});
   flush(true);
+  epoch_ = image.epoch;
+  last_lease_ = image.last_lease;
+  compacted_ = image.compacted;
 }
 
 }  // namespace badgershore::store
--- a/src/store/disk/engine.h
+++ b/src/store/disk/engine.h
@@ -19,6 +19,7 @@
 namespace rocksdb {
 class DB;
 class Env;
+class WriteBatch;
 }  // namespace rocksdb
 
 namespace badgershore::store {
@@ -52,6 +53,11 @@
   Image Load();
   // kUnknown: the disk fails so that not even that can be found out; Settle tries again.
   Written Write(const Batch& batch);
+  // The same with a note of the owner's, in one durable write; without a batch the note alone.
+  Written WriteWithNote(const Batch* batch, const std::string& note);
+  // All that was there gives way to this image and this note, in one durable write.
+  Written Replace(const Image& image, const std::string& note);
+  std::string LoadNote();  // empty: none was ever written
   // After kUnknown: what became of that batch, or kUnknown still.
   Written Settle();
   // Fills an empty directory from an image; durable when it returns.
@@ -64,6 +70,7 @@
  private:
   void Open();
   void CheckLogs();
+  Written Commit(rocksdb::WriteBatch* out);
 
   std::string dir_;
   Mode mode_;
@@ -71,6 +78,8 @@
   std::unique_ptr<rocksdb::DB> db_;
   std::vector<std::string> notes_;
   uint64_t writes_ = 0;  // durable batches, ever
+  // The revision and its like after the last durable write.
+  uint64_t epoch_ = 0, last_lease_ = 0, compacted_ = 0;
   uint64_t expected_ = 0;
   uint64_t trimmed_ = 0;
 };
--- a/src/store/service/service.cpp
+++ b/src/store/service/service.cpp
@@ -102,6 +102,20 @@
   if (timer_ && machine_.NextDeadline() < timer_at_) timer_->Set(true);
 }
 
+http::ServerAnswer ToHttp(const Request& request, const std::optional<Answer>& answer) {
+  http::ServerAnswer reply;
+  if (!answer) {
+    reply.hang_up = true;
+    return reply;
+  }
+  wire::StoreAnswer out = wire::FormatStoreAnswer(request, *answer);
+  reply.status = out.status;
+  reply.body = std::move(out.body);
+  reply.retry_after_s = out.status == 503 ? 1 : 0;
+  reply.hang_up = out.status == 0;
+  return reply;
+}
+
 io::Task<http::ServerAnswer> Service::Handle(http::Message m) {
   wire::StoreCall call = wire::ParseStoreCall(m.method, m.target, m.body);
   if (call.status != 0) {
@@ -114,11 +128,7 @@
   Flush();
   std::optional<Answer> answer = co_await slot.Wait(kNever);
   slots_.erase(token);
-  wire::StoreAnswer out;
-  if (answer) out = wire::FormatStoreAnswer(call.request, *answer);
-  http::ServerAnswer reply{out.status, std::move(out.body), out.status == 503 ? 1 : 0};
-  reply.hang_up = out.status == 0;
-  co_return reply;
+  co_return ToHttp(call.request, answer);
 }
 
 }  // namespace badgershore::store
--- a/src/store/service/service.h
+++ b/src/store/service/service.h
@@ -37,6 +37,9 @@
   std::thread thread_;
 };
 
+// A client's answer in its HTTP form; none: the connection is closed without one.
+http::ServerAnswer ToHttp(const Request& request, const std::optional<Answer>& answer);
+
 class Service {
  public:
   Service(io::Loop* loop, Engine* engine, Limits limits, size_t max_connections = 4096);
--- /dev/null
+++ b/tests/replication_program_test.cpp
@@ -0,0 +1,200 @@
+// Three badgershore-state processes as one state service: one ends, one loses its disk, a majority
+// is gone. They are met on loopback as controllers meet them.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "http/client.h"
+#include "io/loop.h"
+#include "site/process.h"
+#include "wire/json.h"
+
+namespace badgershore {
+namespace {
+
+namespace fs = std::filesystem;
+
+class Replicas : public testing::Test {
+ protected:
+  Replicas() {
+    char name[] = "/tmp/badgershore-replicas-XXXXXX";
+    root_ = mkdtemp(name);
+    std::ofstream file(set_file());
+    file << "lease_s: 0.5\nheartbeat_s: 0.05\nreplicas:\n";
+    for (size_t i = 0; i < 3; ++i) {
+      clients_[i] = site::FreeAddress();
+      file << "- {name: " << Name(i) << ", client: \"" << clients_[i] << "\", peer: \""
+           << site::FreeAddress() << "\"}\n";
+    }
+  }
+  ~Replicas() override {
+    for (size_t i = 0; i < 3; ++i) Kill(i);
+    fs::remove_all(root_);
+  }
+
+  static std::string Name(size_t i) { return "r" + std::to_string(i); }
+  std::string set_file() const { return root_ + "/replicas.yaml"; }
+  std::string Data(size_t i) const { return root_ + "/" + Name(i); }
+
+  pid_t Spawn(std::vector<std::string> argv) {
+    const pid_t pid = fork();
+    if (pid != 0) return pid;
+    setenv("LOG_LEVEL", "error", 1);
+    std::vector<char*> raw;
+    for (std::string& word : argv) raw.push_back(word.data());
+    raw.push_back(nullptr);
+    const int devnull = ::open("/dev/null", O_WRONLY);
+    dup2(devnull, STDOUT_FILENO);
+    execv(raw[0], raw.data());
+    _exit(127);
+  }
+  int ExitOf(std::vector<std::string> argv) {
+    int status = 0;
+    waitpid(Spawn(std::move(argv)), &status, 0);
+    return WEXITSTATUS(status);
+  }
+  void Init(size_t i) {
+    ASSERT_EQ(ExitOf({BADGERSHORE_STATE, "init", "--data", Data(i), "--replicas", set_file()}), 0);
+  }
+  void Start(size_t i) {
+    pids_[i] = Spawn({BADGERSHORE_STATE, "serve", "--data", Data(i), "--replicas", set_file(),
+                      "--name", Name(i)});
+  }
+  void StartAll() {
+    for (size_t i = 0; i < 3; ++i) {
+      Init(i);
+      Start(i);
+    }
+  }
+  void Kill(size_t i) {
+    if (pids_[i] <= 0) return;
+    ::kill(pids_[i], SIGKILL);
+    waitpid(pids_[i], nullptr, 0);
+    pids_[i] = 0;
+  }
+
+  http::ClientAnswer Ask(size_t i, const std::string& method, const std::string& target,
+                         const std::string& body = "") {
+    io::Loop loop;
+    http::ClientAnswer answer;
+    io::Spawn(AskOnce(&loop, clients_[i], method, target, body, &answer));
+    loop.Run();
+    return answer;
+  }
+  static io::Task<void> AskOnce(io::Loop* loop, std::string address, std::string method,
+                                std::string target, std::string body, http::ClientAnswer* answer) {
+    http::Client client(loop, address, 0, http::Limits{});
+    *answer = co_await client.Request(method, target, body, Seconds(3));
+    loop->Stop();
+  }
+  // Until it is answered 200, for 15 s.
+  bool Eventually(size_t i, const std::string& method, const std::string& target,
+                  const std::string& body = "") {
+    for (int tries = 0; tries < 150; ++tries) {
+      const http::ClientAnswer answer = Ask(i, method, target, body);
+      if (answer.answered() && answer.status == 200) return true;
+      usleep(100000);
+    }
+    return false;
+  }
+  bool Put(size_t i, const std::string& key, const std::string& value) {
+    return Eventually(i, "POST", "/commit",
+                      R"({"guards":[],"then":[{"put":")" + key + R"(","value":)" + value + "}]}");
+  }
+  std::string Value(size_t i, const std::string& key) {
+    if (!Eventually(i, "GET", "/store/" + key)) return "";
+    rapidjson::Document document;
+    const std::string body = Ask(i, "GET", "/store/" + key).body;
+    if (!wire::ParseObject(body, &document)) return "";
+    return std::to_string(static_cast<int>(wire::Number(document, "value")));
+  }
+  bool IsMember(size_t i) {
+    rapidjson::Document document;
+    const std::string body = Ask(i, "GET", "/replica/status").body;
+    return wire::ParseObject(body, &document) && wire::Flag(document, "member");
+  }
+  size_t Leader() {
+    for (int tries = 0; tries < 150; ++tries) {
+      for (size_t i = 0; i < 3; ++i) {
+        rapidjson::Document document;
+        const std::string body = pids_[i] > 0 ? Ask(i, "GET", "/replica/status").body : "";
+        if (wire::ParseObject(body, &document) && wire::Flag(document, "serves")) return i;
+      }
+      usleep(100000);
+    }
+    ADD_FAILURE() << "nobody leads";
+    return 0;
+  }
+
+  std::string root_, clients_[3];
+  pid_t pids_[3] = {};
+};
+
+TEST_F(Replicas, AnswerAllAlikeAndOutliveTheLeader) {
+  StartAll();
+  ASSERT_TRUE(Put(0, "a/1", "11"));
+  for (size_t i = 0; i < 3; ++i) EXPECT_EQ(Value(i, "a/1"), "11");
+  const size_t first = Leader();
+  Kill(first);
+  const size_t second = Leader();
+  EXPECT_NE(second, first);
+  EXPECT_EQ(Value(second, "a/1"), "11");
+  ASSERT_TRUE(Put(second, "a/2", "22"));
+  Start(first);
+  EXPECT_EQ(Value(first, "a/2"), "22");
+}
+
+TEST_F(Replicas, AMajorityThatIsGoneIsAnswered503AndNothingIsOld) {
+  StartAll();
+  ASSERT_TRUE(Put(0, "a/1", "11"));
+  const size_t leader = Leader();
+  for (size_t i = 0; i < 3; ++i) {
+    if (i != leader) Kill(i);
+  }
+  usleep(1500000);
+  const http::ClientAnswer read = Ask(leader, "GET", "/store/a/1");
+  EXPECT_TRUE(!read.answered() || read.status == 503) << read.status;
+  for (size_t i = 0; i < 3; ++i) {
+    if (i != leader) Start(i);
+  }
+  EXPECT_EQ(Value(leader, "a/1"), "11");
+}
+
+TEST_F(Replicas, ALostDiskIsFilledAgainAndCountsAfterwards) {
+  StartAll();
+  ASSERT_TRUE(Put(0, "a/1", "11"));
+  const size_t leader = Leader();
+  const size_t lost = (leader + 1) % 3, other = (leader + 2) % 3;
+  Kill(lost);
+  fs::remove_all(Data(lost));
+  ASSERT_TRUE(Put(leader, "a/2", "22"));
+  Start(lost);
+  for (int tries = 0; tries < 200 && !IsMember(lost); ++tries) usleep(100000);
+  ASSERT_TRUE(IsMember(lost));
+  // It and the old leader are a majority with all that was answered.
+  Kill(other);
+  ASSERT_TRUE(Put(leader, "a/3", "33"));
+  Kill(leader);
+  Start(other);
+  EXPECT_EQ(Value(lost, "a/1"), "11");
+  EXPECT_EQ(Value(lost, "a/2"), "22");
+  EXPECT_EQ(Value(lost, "a/3"), "33");
+}
+
+TEST_F(Replicas, DirectoriesAreNotMixedUp) {
+  Init(0);
+  // Twice, served alone, and a state that was never made a replica's.
+  EXPECT_EQ(ExitOf({BADGERSHORE_STATE, "init", "--data", Data(0), "--replicas", set_file()}), 1);
+  EXPECT_EQ(ExitOf({BADGERSHORE_STATE, "serve", "--data", Data(0), "--listen", "127.0.0.1:0"}), 1);
+  EXPECT_EQ(ExitOf({BADGERSHORE_STATE, "serve", "--data", Data(0), "--replicas", set_file(),
+                    "--name", "nobody"}),
+            2);
+}
+
+}  // namespace
+}  // namespace badgershore
--- a/tests/replication_test.cpp
+++ b/tests/replication_test.cpp
@@ -223,6 +223,15 @@
   EXPECT_EQ(leader.Take().committed, std::vector<Position>{position});
 }
 
+TEST(Replica, GivesUpLeadingWhenNobodyAnswers) {
+  const Micros now = Seconds(13);
+  Replica leader = Leading(now);
+  leader.Tick(now + Millis(1900));
+  EXPECT_EQ(leader.role(), Replica::Role::kLeader);
+  leader.Tick(now + Millis(2100));
+  EXPECT_EQ(leader.role(), Replica::Role::kFollower);
+}
+
 TEST(Replica, AFailingDiskStopsLeading) {
   const Micros now = Seconds(13);
   Replica leader = Leading(now);
