Scale runs with a replicated state service, and its loss as a fault

Cause: what happens when the state's machine and disk are lost had to be shown. Change: plans take state_replicas and faults.lose_state; each controller asks the replica of its own number.

--- a/src/programs/rehearse.cpp
+++ b/src/programs/rehearse.cpp
@@ -162,7 +162,7 @@
   std::string error;
   {
     io::Loop loop;
-    rehearsal::Site site(&loop, scenario, {ProgramFolder(), dir, "127.0.0.1:0", seed, ""});
+    rehearsal::Site site(&loop, scenario, {ProgramFolder(), dir, "127.0.0.1:0", seed, 1, ""});
     const Micros start = io::Loop::Now();
     if (!site.Start([&] { loop.Stop(); }, &error)) throw config::Error(error);
     bool interrupted = false;
@@ -210,7 +210,7 @@
   int code = 0;
   {
     io::Loop loop;
-    rehearsal::Site site(&loop, scenario, {ProgramFolder(), dir, listen, 1, ""});
+    rehearsal::Site site(&loop, scenario, {ProgramFolder(), dir, listen, 1, 1, ""});
     std::string error;
     if (!site.Start([&] { loop.Stop(); }, &error)) {
       std::fprintf(stderr, "badgershore-rehearse: %s\n", error.c_str());
--- a/src/rehearsal/site.cpp
+++ b/src/rehearsal/site.cpp
@@ -24,8 +24,8 @@
     : loop_(loop),
       scenario_(scenario),
       options_(std::move(options)),
-      state_addr_(site::FreeAddress()),
       cloud_addr_(site::FreeAddress()),
+      states_(Addresses(static_cast<size_t>(options_.state_replicas))),
       nodes_(Addresses(3)),
       backs_(Addresses(3)),
       cloud_(
@@ -44,7 +44,12 @@
     w.Begin().Put("member", "node-" + std::to_string(i)).Put("site", s.zones[0]);
     w.Put("addr", backs_[i]).End();
   }
-  w.EndList().Key("external").Begin().Put("cloud", cloud_addr_).Put("state", state_addr_).End();
+  w.EndList()
+      .Key("external")
+      .Begin()
+      .Put("cloud", cloud_addr_)
+      .Put("state", states_[node % states_.size()])
+      .End();
   w.Key("params").Begin().Key("zones").BeginList();
   for (const std::string& z : s.zones) w.Str(z);
   w.EndList().Key("teams").BeginList();
@@ -80,11 +85,7 @@
       << "limits:\n  rps: " << s.state_rps << "\n  write_rps: " << s.state_write_rps
       << "\n  value_kb: " << s.state_value_kb << "\n  txn_ops: " << s.state_txn_ops << "\n";
   std::vector<site::Command> out;
-  out.push_back({"badgershore-state",
-                 {options_.programs + "/badgershore-state", "serve", "--data", dir + "/state",
-                  "--listen", state_addr_, "--options", dir + "/state.yaml"},
-                 dir + "/state.log",
-                 0});
+  AddStateCommands(&out);
   for (size_t i = 0; i < nodes_.size(); ++i) {
     const std::string name = "node-" + std::to_string(i);
     std::ofstream(dir + "/" + name + ".json") << Settings(i);
@@ -99,6 +100,51 @@
   return out;
 }
 
+std::string Site::ProcessName(size_t child) const {
+  if (child >= states_.size()) return NodeName(child - states_.size());
+  return states_.size() == 1 ? "state" : "state-" + std::to_string(child);
+}
+
+std::string Site::StateData(size_t replica) const {
+  return options_.dir + "/" + ProcessName(replica);
+}
+
+void Site::AddStateCommands(std::vector<site::Command>* out) {
+  const std::string program = options_.programs + "/badgershore-state";
+  const std::string set = options_.dir + "/replicas.yaml", limits = options_.dir + "/state.yaml";
+  if (states_.size() > 1) {
+    std::ofstream file(set);
+    file << "replicas:\n";
+    for (size_t i = 0; i < states_.size(); ++i) {
+      file << "- {name: " << ProcessName(i) << ", client: \"" << states_[i] << "\", peer: \""
+           << site::FreeAddress() << "\"}\n";
+    }
+  }
+  for (size_t i = 0; i < states_.size(); ++i) {
+    const std::string name = ProcessName(i), log = options_.dir + "/" + name + ".log";
+    std::vector<std::string> argv = {program, "serve", "--data", StateData(i), "--options", limits};
+    if (states_.size() == 1) {
+      argv.insert(argv.end(), {"--listen", states_[i]});
+    } else {
+      argv.insert(argv.end(), {"--replicas", set, "--name", name});
+      site::RunToEnd({program, "init", "--data", StateData(i), "--replicas", set}, log);
+    }
+    out->push_back({name, std::move(argv), log, 0});
+  }
+}
+
+void Site::LoseState(size_t replica, Micros back_after) {
+  processes_.Kill(replica, back_after);
+  // Not before its process is gone, which takes a moment after the signal.
+  io::Spawn(RemoveStateData(replica));
+}
+
+io::Task<void> Site::RemoveStateData(size_t replica) {
+  co_await loop_->Sleep(Millis(200));
+  std::error_code ignored;
+  std::filesystem::remove_all(StateData(replica), ignored);
+}
+
 bool Site::Start(std::function<void()> over, std::string* error) {
   if (!cloud_.Start(cloud_addr_, error) || !relay_.Start(options_.listen, error)) return false;
   processes_.Start(std::move(over));
@@ -189,7 +235,8 @@
 void Site::Describe(const std::string& job, std::function<void(std::optional<JobSpec>)> then) {
   wire::Call call{"GET", "/store/" + keys::kJob + job, "", Seconds(4)};
   const std::string key = keys::kJob + job;
-  auto client = std::make_shared<http::Client>(loop_, state_addr_, 0, kLimits);
+  const std::string& address = states_[describe_turn_++ % states_.size()];
+  auto client = std::make_shared<http::Client>(loop_, address, 0, kLimits);
   io::Spawn(Call(std::move(client), std::move(call),
                  [key, then = std::move(then)](int status, const std::string& body) {
                    rapidjson::Document doc;
@@ -209,7 +256,7 @@
     if (m.gone < kNever || m.failed < kNever) continue;
     ++(m.up < kNever ? out.up : out.starting);
   }
-  http::Client client(loop_, state_addr_, 0, kLimits);
+  http::Client client(loop_, states_[0], 0, kLimits);
   for (const std::string& prefix : {keys::kJob, keys::kEnd}) {
     std::string target = "/store?limit=1000&starts=" + prefix;
     const http::ClientAnswer a = co_await client.Request("GET", std::move(target), "", Seconds(2));
--- a/src/rehearsal/site.h
+++ b/src/rehearsal/site.h
@@ -17,6 +17,7 @@
   std::string dir;       // settings, state and logs
   std::string listen = "127.0.0.1:0";
   uint64_t seed = 1;
+  int state_replicas = 1;          // 1, 3 or 5; each controller asks its own, as far as they go
   std::string controller_options;  // the operators' own settings (YAML); empty: none
 };
 
@@ -39,9 +40,12 @@
   const Traffic& report_traffic() const { return report_traffic_; }
   const Traffic& user_traffic() const { return user_traffic_; }
   const std::vector<std::string>& node_addresses() const { return nodes_; }
-  const std::string& state_address() const { return state_addr_; }
-  // The state service is child 0, controller N is child N + 1.
+  const std::vector<std::string>& state_addresses() const { return states_; }
+  // The state service's replicas come first, controllers after them.
   const site::Processes& processes() const { return processes_; }
+  std::string ProcessName(size_t child) const;
+  // A replica's machine is lost with its disk; another one with an empty disk takes its place.
+  void LoseState(size_t replica, Micros back_after);
   // Set before Start.
   std::function<void(const Event&)> on_event;
   void OnProcessEnded(std::function<void(const std::string& name, int status)> told) {
@@ -58,7 +62,9 @@
   void CloseMachine(const std::string& id) override;
   void CallNode(const std::string& from, size_t node, const wire::Call& call, Reply reply) override;
   void Describe(const std::string& job, std::function<void(std::optional<JobSpec>)> then) override;
-  void KillNode(size_t node, Micros back_after) override { processes_.Kill(node + 1, back_after); }
+  void KillNode(size_t node, Micros back_after) override {
+    processes_.Kill(states_.size() + node, back_after);
+  }
   void Observe(const Event& event) override {
     if (on_event) on_event(event);
   }
@@ -66,17 +72,20 @@
 
  private:
   io::Task<void> Drive();
+  io::Task<void> RemoveStateData(size_t replica);
   io::Task<http::ServerAnswer> Serve(std::string host, http::Message m);
   io::Task<void> Call(std::shared_ptr<http::Client> client, wire::Call call, Reply reply);
   std::shared_ptr<http::Client> ClientOf(const std::string& from, size_t node);
   std::vector<site::Command> Commands();
+  void AddStateCommands(std::vector<site::Command>* out);
+  std::string StateData(size_t replica) const;
   std::string Settings(size_t node) const;
 
   io::Loop* loop_;
   Scenario scenario_;
   SiteOptions options_;
-  std::string state_addr_, cloud_addr_;
-  std::vector<std::string> nodes_, backs_;
+  std::string cloud_addr_;
+  std::vector<std::string> states_, nodes_, backs_;
   std::map<std::string, std::unique_ptr<http::Server>> machines_;
   struct WorkerConnection {
     size_t node = 0;
@@ -88,6 +97,7 @@
   site::Relay relay_;
   site::Processes processes_;
   World world_;
+  size_t describe_turn_ = 0;
   bool stopping_ = false;
 };
 
--- a/src/scale/core/plan.cpp
+++ b/src/scale/core/plan.cpp
@@ -171,6 +171,7 @@
   plan.worker_cpus = top.Number("worker_cpus", 1, 1e4, 20);
   plan.worker_mem_gb = top.Number("worker_mem_gb", 1, 1e6, 64);
   plan.teams = static_cast<int>(top.Whole("teams", 1, 10000));
+  plan.state_replicas = 1 + 2 * static_cast<int>(top.OneOf("state_replicas", {"1", "3", "5"}, 0));
   plan.quota_cpus = top.Number("quota_cpus", 0, 1e6, 0);
   plan.starts_per_s = top.Number("starts_per_s", 0.1, 1e5);
   plan.tasks_per_job = static_cast<int>(top.Whole("tasks_per_job", 1, 100000, 100));
@@ -179,6 +180,7 @@
   plan.phases = ReadPhases(top.Map("phases"));
   YamlMap faults = top.Map("faults");
   plan.faults.kill_leader = faults.Flag("kill_leader", false);
+  plan.faults.lose_state = faults.Flag("lose_state", false);
   plan.faults.lose_workers = faults.Number("lose_workers", 0, 0.9, 0);
   faults.NoOthers();
   YamlMap bounds = top.Map("bounds");
--- a/src/scale/core/plan.h
+++ b/src/scale/core/plan.h
@@ -26,7 +26,9 @@
 
 struct Faults {
   bool kill_leader = false;  // in the middle of the peak; it is back 10 s later
+  bool lose_state = false;   // the serving state process and its disk, then too; back 5 s later
   double lose_workers = 0;   // this share of the workers dies in the middle of the peak
+  bool any() const { return kill_leader || lose_state || lose_workers > 0; }
 };
 
 // What the run may use on this machine. It ends, and fails, where it would use more.
@@ -40,6 +42,7 @@
   int workers = 0;
   double worker_cpus = 0, worker_mem_gb = 0;
   int teams = 1;
+  int state_replicas = 1;
   double quota_cpus = 0;    // each team's limit; 0: none
   double starts_per_s = 0;  // at the peak
   int tasks_per_job = 1;
--- a/src/scale/core/report.cpp
+++ b/src/scale/core/report.cpp
@@ -20,6 +20,7 @@
 bool IsController(const std::string& process) { return process.rfind("node-", 0) == 0; }
 
 std::string RoleOf(const std::string& process, const std::string& leader) {
+  if (process.rfind("state", 0) == 0) return "state";
   if (!IsController(process)) return process;
   return process == leader ? "leader" : "standby";
 }
--- a/src/scale/core/report.h
+++ b/src/scale/core/report.h
@@ -34,7 +34,8 @@
 struct PhaseUsage {
   std::string name;
   double span_s = 0;
-  // By role: leader, standby (the other controllers together), state, hollow.
+  // By role: leader, standby (the other controllers together), state (its replicas together),
+  // hollow.
   std::map<std::string, double> cores;        // processor time per second
   std::map<std::string, double> resident_mb;  // at the phase's end
   Counters leader_per_s;                      // rates of the leader's counters
--- a/src/scale/run.cpp
+++ b/src/scale/run.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr Micros kLook = Seconds(1);
+constexpr Micros kStateBack = Seconds(5);
 constexpr size_t kBestSpanS = 10;
 constexpr http::Limits kAnswerLimits{8 * 1024, 16 * 1024, 1024 * 1024};
 // A listener, a connection and direct calls a worker, and some for users and files.
@@ -55,9 +56,9 @@
   const Phases& phases = plan.phases;
   const Micros peak_from = began + phases.ramp + phases.steady;
   std::vector<Boundary> out = {{began + phases.ramp, "steady"}, {peak_from, "peak"}};
-  const bool faults = plan.faults.kill_leader || plan.faults.lose_workers > 0;
   // Before the first fault, which comes in the middle of the peak.
-  if (faults) out.push_back({peak_from + phases.peak.Scaled(0.5) - Millis(200), "faults"});
+  if (plan.faults.any())
+    out.push_back({peak_from + phases.peak.Scaled(0.5) - Millis(200), "faults"});
   out.push_back({began + phases.load(), "settle"});
   return out;
 }
@@ -75,12 +76,13 @@
   site.programs = options_.programs;
   site.dir = options_.dir;
   site.seed = options_.seed;
+  site.state_replicas = plan_.state_replicas;
   site.controller_options = ControllerOptions(plan_);
   site_ = std::make_unique<rehearsal::Site>(&loop_, scenario_, std::move(site));
   site_->on_event = [this](const rehearsal::Event& event) { start_times_.See(event); };
   site_->OnProcessEnded([this](const std::string& name, int status) {
     const bool killed = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
-    if (ending_ || (killed && plan_.faults.kill_leader)) return;
+    if (ending_ || (killed && plan_.faults.any())) return;
     const std::string how = WIFSIGNALED(status)
                                 ? "signal " + std::to_string(WTERMSIG(status))
                                 : "exit code " + std::to_string(WEXITSTATUS(status));
@@ -120,8 +122,7 @@
   const site::Processes& processes = site_->processes();
   for (size_t child = 0; child < processes.size(); ++child) {
     const auto usage = ReadUsage(processes.pid(child));
-    const std::string name = child == 0 ? "state" : rehearsal::NodeName(child - 1);
-    if (usage) sample.processes[name] = SampleOf(*usage);
+    if (usage) sample.processes[site_->ProcessName(child)] = SampleOf(*usage);
   }
   if (const auto own = ReadUsage(::getpid())) sample.processes["hollow"] = SampleOf(*own);
   sample.reports = site_->report_traffic().requests;
@@ -135,14 +136,26 @@
     sample.leader_counters = std::move(counters);
   }
   // A key that is not there is answered with the number of changes made so far.
-  const std::string absent = co_await Fetch(site_->state_address(), "/store/scale/absent");
-  rapidjson::Document document;
-  if (wire::ParseObject(absent, &document)) {
-    sample.state_epoch = wire::Number(document, "epoch");
+  for (const std::string& address : site_->state_addresses()) {
+    const std::string absent = co_await Fetch(address, "/store/scale/absent");
+    rapidjson::Document document;
+    if (!wire::ParseObject(absent, &document)) continue;
+    sample.state_epoch = std::max(sample.state_epoch, wire::Number(document, "epoch"));
   }
   co_return sample;
 }
 
+// The process that answers for the state service; the first where none says so.
+io::Task<size_t> Run::ServingState() {
+  const std::vector<std::string>& addresses = site_->state_addresses();
+  for (size_t replica = 0; replica < addresses.size(); ++replica) {
+    const std::string status = co_await Fetch(addresses[replica], "/replica/status");
+    rapidjson::Document document;
+    if (wire::ParseObject(status, &document) && wire::Flag(document, "serves")) co_return replica;
+  }
+  co_return 0;
+}
+
 // False where the run ends first.
 io::Task<bool> Run::WaitUntil(Micros at) {
   while (!ending_ && io::Loop::Now() < at) {
@@ -161,6 +174,9 @@
     if (!goes_on) co_return;
     const Sample sample = co_await TakeSample(boundary.phase);
     samples_.push_back(sample);
+    if (boundary.phase != "faults" || !plan_.faults.lose_state) continue;
+    const size_t serving = co_await ServingState();
+    site_->LoseState(serving, kStateBack);
   }
   // The site ends by itself once each job is over, or the time to settle is.
   while (!ending_ && !site_->world().over()) {
--- a/src/scale/run.h
+++ b/src/scale/run.h
@@ -30,6 +30,7 @@
   io::Task<void> Measure();
   io::Task<bool> WaitUntil(Micros at);
   io::Task<Sample> TakeSample(std::string phase);
+  io::Task<size_t> ServingState();
   io::Task<std::string> Fetch(std::string address, std::string target);
   void CheckBounds();
   void ShowProgress(const std::string& phase) const;
--- a/src/site/process.cpp
+++ b/src/site/process.cpp
@@ -21,17 +21,10 @@
   return out;
 }
 
-}  // namespace
-
-Processes::Processes(io::Loop* loop, std::vector<Command> commands)
-    : loop_(loop),
-      commands_(std::move(commands)),
-      pids_(commands_.size(), 0),
-      supervisor_(Stages(commands_)) {}
-
-pid_t Processes::Spawn(const Command& command) {
+// The child ends with this process, however that ends.
+pid_t SpawnChild(const std::vector<std::string>& words, const std::string& log_file) {
   std::vector<char*> argv;
-  for (const std::string& a : command.argv) argv.push_back(const_cast<char*>(a.c_str()));
+  for (const std::string& a : words) argv.push_back(const_cast<char*>(a.c_str()));
   argv.push_back(nullptr);
   const pid_t parent = ::getpid();
   const pid_t pid = ::fork();
@@ -39,7 +32,7 @@
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (::getppid() != parent) _exit(127);  // it ended before we asked to be told
   ::setpgid(0, 0);                        // a Ctrl-C at the terminal is for the parent alone
-  const int log = ::open(command.log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  const int log = ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   if (log >= 0) {
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
@@ -48,11 +41,19 @@
   _exit(127);
 }
 
+}  // namespace
+
+Processes::Processes(io::Loop* loop, std::vector<Command> commands)
+    : loop_(loop),
+      commands_(std::move(commands)),
+      pids_(commands_.size(), 0),
+      supervisor_(Stages(commands_)) {}
+
 void Processes::Do(const Supervisor::Action& action) {
   pid_t& pid = pids_[action.child];
   switch (action.kind) {
     case Supervisor::Action::Kind::kStart:
-      pid = Spawn(commands_[action.child]);
+      pid = SpawnChild(commands_[action.child].argv, commands_[action.child].log_file);
       break;
     case Supervisor::Action::Kind::kTerminate:
       if (pid > 0) ::kill(pid, SIGTERM);
@@ -84,6 +85,13 @@
   over();
 }
 
+int RunToEnd(const std::vector<std::string>& argv, const std::string& log_file) {
+  int status = 0;
+  const pid_t pid = SpawnChild(argv, log_file);
+  if (pid <= 0 || ::waitpid(pid, &status, 0) != pid || !WIFEXITED(status)) return -1;
+  return WEXITSTATUS(status);
+}
+
 namespace {
 
 constexpr int kFirstPort = 10000;
--- a/src/site/process.h
+++ b/src/site/process.h
@@ -35,7 +35,6 @@
  private:
   io::Task<void> Watch(std::function<void()> over);
   void Do(const Supervisor::Action& action);
-  pid_t Spawn(const Command& command);
 
   io::Loop* loop_;
   std::vector<Command> commands_;
@@ -43,6 +42,10 @@
   Supervisor supervisor_;
 };
 
+// Runs a program to its end, its output to the end of `log_file`. Its exit code; -1 where it did
+// not come to one.
+int RunToEnd(const std::vector<std::string>& argv, const std::string& log_file);
+
 // A free loopback port, as HOST:PORT, below those that outgoing connections take theirs from: one
 // of them would hold it for a minute after its end. Each is given once in turn; std::runtime_error
 // where none is free.
