--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -16,23 +16,23 @@
 
 }  // namespace
 
-Node::Node(io::Loop* loop, PlatformSettings settings, Options options)
+Node::Node(io::Loop* loop, const PlatformSettings& settings, Options options)
     : loop_(loop),
       settings_(settings),
-      core_(settings, options),
+      core_(settings, std::move(options)),
       state_(loop, settings),
       cloud_(loop, settings),
       link_(
           loop, settings,
-          [this](PeerNote note) {
+          [this](const PeerNote& note) {
             core_.OnPeer(io::Loop::Now(), note);
             Flush();
           },
-          [this](limits::CellNote note) {
+          [this](const limits::CellNote& note) {
             core_.OnCell(io::Loop::Now(), note);
             Flush();
           },
-          [this](membership::Message message) {
+          [this](const membership::Message& message) {
             core_.OnMember(io::Loop::Now(), message);
             Flush();
           }),
--- a/src/adapters/node.h
+++ b/src/adapters/node.h
@@ -16,7 +16,7 @@
 
 class Node {
  public:
-  Node(io::Loop* loop, PlatformSettings settings, Options options);
+  Node(io::Loop* loop, const PlatformSettings& settings, Options options);
   bool Start(std::string* error);
   // Hands over, goes on answering for a moment, and then calls `done`.
   void End(std::function<void()> done);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -30,7 +30,7 @@
     return f->GetString();
   }
   std::string Address(const char* field) const {
-    const std::string s = Name(field);
+    std::string s = Name(field);
     const size_t colon = s.rfind(':');
     const int port = colon == std::string::npos ? 0 : std::atoi(s.c_str() + colon + 1);
     if (colon == 0 || port <= 0 || port > 65535) Fail(field, "ADDRESS:PORT");
--- a/src/config/yaml.cpp
+++ b/src/config/yaml.cpp
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-YamlMap::YamlMap(YAML::Node node, std::string file, std::string path)
-    : node_(std::move(node)), file_(std::move(file)), path_(std::move(path)) {
+YamlMap::YamlMap(const YAML::Node& node, std::string file, std::string path)
+    : node_(node), file_(std::move(file)), path_(std::move(path)) {
   if (node_ && !node_.IsNull() && !node_.IsMap()) {
     const std::string name = path_.empty() ? "" : path_.substr(0, path_.size() - 1) + ": ";
     throw Error(Line(file_, node_.Mark()) + ": " + name + "expected a map");
--- a/src/config/yaml.h
+++ b/src/config/yaml.h
@@ -17,7 +17,7 @@
 
 class YamlMap {
  public:
-  YamlMap(YAML::Node node, std::string file, std::string path = "");
+  YamlMap(const YAML::Node& node, std::string file, std::string path = "");
   static YamlMap Load(const std::string& file);
   static YamlMap Parse(const std::string& text, const std::string& file);
 
--- a/src/core/frontend/controller.cpp
+++ b/src/core/frontend/controller.cpp
@@ -3,7 +3,7 @@
 namespace badgershore {
 
 Controller::Controller(PlatformSettings settings, Options options)
-    : settings_(std::move(settings)), options_(options) {
+    : settings_(std::move(settings)), options_(std::move(options)) {
   int position = 0;
   for (const auto& m : settings_.members) position += m.name < settings_.member;
   Election::Callbacks callbacks;
--- a/src/core/frontend/frontend.cpp
+++ b/src/core/frontend/frontend.cpp
@@ -51,8 +51,8 @@
   Answer(token, 200, id, d.running > 0 ? Phase::kRunning : Phase::kPending, d.done, d.running);
 }
 
-void Frontend::Read(RequestId token, const std::string& id, int missing_status, std::string reason,
-                    OnRead live) {
+void Frontend::Read(RequestId token, const std::string& id, int missing_status,
+                    const std::string& reason, const OnRead& live) {
   if (AnswerFinal(token, id)) return;
   const auto unread = [=, this] { Refuse(token, 503, id, "the state service can't be read"); };
   asker_->State(GetOp(keys::kJob + id), [=, this](Micros now, StateReply& job) {
--- a/src/core/frontend/frontend.h
+++ b/src/core/frontend/frontend.h
@@ -38,8 +38,8 @@
  private:
   using OnRead = std::function<void(Micros, const StateReply& job)>;
   // Reads the job; answers by itself when it is over, unknown (`missing_status`) or can't be read.
-  void Read(RequestId token, const std::string& id, int missing_status, std::string reason,
-            OnRead live);
+  void Read(RequestId token, const std::string& id, int missing_status, const std::string& reason,
+            const OnRead& live);
   void Answer(RequestId token, int status, const std::string& id, Phase phase, int done = 0,
               int running = 0);
   void Refuse(RequestId token, int status, const std::string& id, std::string reason,
--- a/src/core/leader/provisioner.cpp
+++ b/src/core/leader/provisioner.cpp
@@ -252,8 +252,8 @@
   if (now < log_at_) return;
   for (const auto& [offer, p] : paid_) {
     if (p.held <= 0) continue;
-    const auto percent = [&p](double part) {
-      return std::to_string(static_cast<int>(100 * part / p.held)) + "%";
+    const auto percent = [held = p.held](double part) {
+      return std::to_string(static_cast<int>(100 * part / held)) + "%";
     };
     asker()->Debug("paid " + offer.type + (offer.spot ? " (spot) " : " ") +
                    std::to_string(static_cast<int>(p.held)) + " s: boot " + percent(p.boot) +
--- a/src/core/leader/recorder.cpp
+++ b/src/core/leader/recorder.cpp
@@ -286,7 +286,7 @@
 void Recorder::LookAtPage(Pages* pages, Pages::Page* page) {
   StateOp get;
   get.key = page->key;
-  asker()->State(get, Guarded([this, pages, page](Micros t, StateReply& g) {
+  asker()->State(get, Guarded([pages, page](Micros t, StateReply& g) {
                    if (g.ok() && !g.entries.empty()) {
                      page->stamp = g.entries[0].stamp;
                    } else if (g.outcome == StateReply::Outcome::kMissing) {
--- a/src/programs/rehearse.cpp
+++ b/src/programs/rehearse.cpp
@@ -44,7 +44,7 @@
 // A file, or the name of a kept scenario.
 std::string FileOf(const std::string& scenario) {
   if (std::filesystem::exists(scenario)) return scenario;
-  const std::string kept = g_scenarios + "/" + scenario + ".yaml";
+  std::string kept = g_scenarios + "/" + scenario + ".yaml";
   if (!std::filesystem::exists(kept)) {
     throw config::Error(scenario + ": expected a file or a scenario kept in " + g_scenarios);
   }
@@ -193,7 +193,8 @@
   std::fflush(stdout);
   rehearsal::Site::Counts shown;
   shown.live = -1;
-  while (tty) {
+  if (!tty) co_return;
+  for (;;) {
     const rehearsal::Site::Counts now = co_await site->Count();
     if (!(now == shown)) {
       shown = now;
@@ -302,6 +303,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<size_t>(jobs));
   for (int i = 0; i < jobs; ++i) threads.emplace_back(work);
   for (std::thread& t : threads) t.join();
   if (tty) std::fprintf(stderr, "\n");
--- a/src/programs/scale.cpp
+++ b/src/programs/scale.cpp
@@ -10,6 +10,7 @@
 
 #include "config/config.h"
 #include "programs/common.h"
+#include "scale/core/capacity.h"
 #include "scale/core/slopes.h"
 #include "scale/run.h"
 
@@ -110,6 +111,32 @@
   return clean ? 0 : 1;
 }
 
+struct CapacityOptions {
+  std::string slopes, page_to_write, page_to_check;
+  scale::Load load;
+  scale::WorkerBudget budget;
+};
+
+// Prints the tables, or lays them into a page, or says whether a page has them.
+int PrintCapacity(const CapacityOptions& options) {
+  const std::string& slopes = options.slopes;
+  const std::string tables = scale::CapacityTables(
+      scale::ParseRows(config::ReadFile(slopes), slopes), options.load, options.budget);
+  if (!options.page_to_write.empty()) {
+    const std::string page = config::ReadFile(options.page_to_write);
+    WriteFile(options.page_to_write, scale::WithTables(page, tables));
+    return 0;
+  }
+  if (!options.page_to_check.empty()) {
+    const std::string page = config::ReadFile(options.page_to_check);
+    if (scale::WithTables(page, tables) == page) return 0;
+    std::printf("%s: its tables are not those of this command\n", options.page_to_check.c_str());
+    return 1;
+  }
+  std::printf("%s", tables.c_str());
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -140,6 +167,18 @@
   sweep->add_option("--sizes", sizes, "With commas between them")->required();
   sweep->add_option("--repeats", repeats, "Runs of each size")->check(CLI::Range(1, 100));
   sweep->add_option("--out", out, "A row a run is appended there")->capture_default_str();
+  CapacityOptions capacity;
+  CLI::App* tables = verb("capacity", "What each role uses at a size, from measured slopes");
+  tables->add_option("--slopes", capacity.slopes, "What sweeps wrote")->required();
+  tables->add_option("--workers", capacity.load.workers)->required();
+  tables->add_option("--starts", capacity.load.starts_per_s, "Task starts a second")->required();
+  tables->add_option("--running", capacity.load.running_tasks, "Tasks at once")->required();
+  tables->add_option("--jobs", capacity.load.jobs_per_s, "Jobs a second")->required();
+  tables->add_option("--teams", capacity.load.teams)->required();
+  tables->add_option("--gang-starts", capacity.load.gang_starts_per_s,
+                     "Tasks of urgent gangs a second");
+  tables->add_option("--write", capacity.page_to_write, "Lay the tables into this page");
+  tables->add_option("--check-page", capacity.page_to_check, "Exit 1 where this page has others");
   CLI::App* check = verb("check", "Check a plan's file");
   check->add_option("plan", file, "A plan (YAML)")->required();
   if (const int code = programs::Parse(&app, argc, argv); code >= 0) return code;
@@ -147,6 +186,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   try {
     if (*run) return RunPlan(file, seed, json, keep);
+    if (*tables) return PrintCapacity(capacity);
     if (*sweep) return Sweep(file, axis, sizes, repeats, out);
     const scale::Plan plan = scale::LoadPlan(file);
     std::printf("%s is good: %d workers, %.0f starts a second, %.0f tasks at once, %d teams\n",
--- a/src/rehearsal/cloud.cpp
+++ b/src/rehearsal/cloud.cpp
@@ -153,6 +153,7 @@
     const Micros end = std::max(std::min({now, m.gone, m.failed}),
                                 m.asked + (m.gone <= now ? Seconds(60) : Micros{}));
     const MachineOffer* t = Type(m.type);
+    if (!t) continue;  // rented machines are of known types
     out += (m.spot ? t->type.spot_price : t->type.price) * (end - m.asked).ToSeconds() / 3600;
   }
   return out;
--- a/src/rehearsal/nodes.cpp
+++ b/src/rehearsal/nodes.cpp
@@ -90,7 +90,7 @@
   PumpNode(index);
 }
 
-void World::NodeState(size_t index, StateOp op) {
+void World::NodeState(size_t index, const StateOp& op) {
   const RequestId id = op.id;
   wire::Call call = wire::FormatStateCall(op);
   Send(NodeName(index), kState, std::move(call),
@@ -144,7 +144,7 @@
     const bool paced = op.kind != StateOp::Kind::kTouch && op.kind != StateOp::Kind::kGrant &&
                        op.kind != StateOp::Kind::kRelease && op.kind != StateOp::Kind::kWatch;
     if (!paced || n.rate.Take(now_, 1)) {
-      NodeState(index, std::move(op));
+      NodeState(index, op);
       continue;
     }
     // As the state client does: a little later, or refused after a second.
--- a/src/rehearsal/service.cpp
+++ b/src/rehearsal/service.cpp
@@ -74,11 +74,12 @@
     }
     auto it = bounds_.find(key.second);
     if (it == bounds_.end()) continue;
-    const auto late = [&](const char* what, double bound, double latest, int count) {
-      if (bound <= 0 || (latest <= bound && count == s.accepted - s.withdrawn)) return;
+    const auto late = [&, owed = s.accepted - s.withdrawn](const char* what, double bound,
+                                                           double latest, int count) {
+      if (bound <= 0 || (latest <= bound && count == owed)) return;
       say("late", name + ": the last was " + what + " after " +
                       std::to_string(static_cast<int>(latest)) + " s, " + std::to_string(count) +
-                      " of " + std::to_string(s.accepted - s.withdrawn));
+                      " of " + std::to_string(owed));
     };
     late("started", it->second.start_s, s.latest_start_s, s.started);
     late("done", it->second.done_s, s.latest_done_s, s.done);
--- a/src/rehearsal/site.cpp
+++ b/src/rehearsal/site.cpp
@@ -175,7 +175,7 @@
   world_.RunUntil(io::Loop::Now());
   // The slot may be gone when the answer comes: then nobody is told.
   auto alive = std::make_shared<bool>(true);
-  world_.Receive(host, std::move(call), [&slot, alive](int status, const std::string& body) {
+  world_.Receive(host, call, [&slot, alive](int status, const std::string& body) {
     if (*alive) slot.Set({status, body});
   });
   const auto answer = co_await slot.Wait(io::Loop::Now() + Seconds(5));
--- a/src/rehearsal/work.cpp
+++ b/src/rehearsal/work.cpp
@@ -112,7 +112,7 @@
   gang.members[task.ref.task].saving = true;
   gang.members[task.ref.task].saved_at = now + job.spec.save_time;
   if (gang.broken) return;
-  const auto alive = [this, &job, attempt = task.attempt]() -> Gang* {
+  const auto alive = [&job, attempt = task.attempt]() -> Gang* {
     auto g = job.gangs.find(attempt);
     return g == job.gangs.end() || g->second.broken ? nullptr : &g->second;
   };
--- a/src/rehearsal/world.cpp
+++ b/src/rehearsal/world.cpp
@@ -165,7 +165,7 @@
 
 void World::RunUntil(Micros now) { clock_.RunUntil(now); }
 
-void World::Receive(const std::string& to, wire::Call call, Reply reply) {
+void World::Receive(const std::string& to, const wire::Call& call, Reply reply) {
   const uint64_t id = ++next_call_;
   pending_[id] = {"outside", to, 0, std::move(reply)};
   Serve(id, to, call);
--- a/src/rehearsal/world.h
+++ b/src/rehearsal/world.h
@@ -95,7 +95,7 @@
   void Leave();  // what this cell's users saw, into the result
   Result End();
   // A call from outside to the cloud or a machine.
-  void Receive(const std::string& to, wire::Call call, Outside::Reply reply);
+  void Receive(const std::string& to, const wire::Call& call, Outside::Reply reply);
   const Cloud& cloud() const { return cloud_; }
 
  private:
@@ -129,7 +129,7 @@
   void TickNode(size_t index, int life);
   void WhenAwake(size_t index, std::function<void(Controller*)> then);
   void PumpNode(size_t index);
-  void NodeState(size_t index, StateOp op);
+  void NodeState(size_t index, const StateOp& op);
   void BringKeptReports();
   int Leader() const;
 
--- a/src/replication/service/service.cpp
+++ b/src/replication/service/service.cpp
@@ -244,7 +244,10 @@
 
 io::Task<http::ServerAnswer> ReplicatedService::HandlePeer(http::Message request) {
   const std::optional<Message> message = DecodeMessage(request.body);
-  if (!message) co_return http::ServerAnswer{400, R"({"error":"not a replica's message"})", 0};
+  if (!message) {
+    spdlog::error("a message of a form that this version does not read");
+    co_return http::ServerAnswer{400, R"({"error":"not a replica's message"})", 0};
+  }
   const bool other = !message->history.empty() && !replica_.stored().history.empty() &&
                      message->history != replica_.stored().history;
   if (other) spdlog::error("{} belongs to another state service", message->from);
--- a/src/scale/core/slopes.cpp
+++ b/src/scale/core/slopes.cpp
@@ -100,7 +100,7 @@
     out[std::string(role) + " MB"] = ValueOr(peak->resident_mb, role);
   }
   out["reports/s"] = peak->reports_per_s;
-  out["worker bytes/s"] = peak->worker_bytes_per_s;
+  out["report bytes/s"] = peak->worker_bytes_per_s * report.workers;
   out["state changes/s"] = peak->state_changes_per_s;
   out["state requests/s"] = ValueOr(peak->leader_per_s, "badgershore_state_requests_total");
   out["state bytes/s"] = ValueOr(peak->leader_per_s, "badgershore_state_sent_bytes_total") +
--- a/src/site/process.cpp
+++ b/src/site/process.cpp
@@ -17,6 +17,7 @@
 
 std::vector<int> Stages(const std::vector<Command>& commands) {
   std::vector<int> out;
+  out.reserve(commands.size());
   for (const Command& c : commands) out.push_back(c.stage);
   return out;
 }
@@ -24,6 +25,7 @@
 // The child ends with this process, however that ends.
 pid_t SpawnChild(const std::vector<std::string>& words, const std::string& log_file) {
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (const std::string& a : words) argv.push_back(const_cast<char*>(a.c_str()));
   argv.push_back(nullptr);
   const pid_t parent = ::getpid();
--- a/src/store/disk/archive.cpp
+++ b/src/store/disk/archive.cpp
@@ -158,7 +158,7 @@
   out.Add(kHead, wire::FormatHeadLine(image) + "\n");
   std::string piece;
   int number = 0;
-  const auto line = [&](std::string text) {
+  const auto line = [&](const std::string& text) {
     piece += text + "\n";
     if (piece.size() < kPieceBytes) return;
     char name[32];
--- a/src/wire/store_messages.cpp
+++ b/src/wire/store_messages.cpp
@@ -309,15 +309,17 @@
   rapidjson::Document doc;
   if (!ParseStrict(line, &doc)) return false;
   const auto value = doc.FindMember("value");
+  // rapidjson's own comparison is ambiguous by the rules of C++20.
+  const bool has_value = doc.HasMember("value");
   if (Find(doc, "path")) {
     const std::string key = Text(doc, "path");
-    if (!store::ValidKey(key) || value == doc.MemberEnd()) return false;
+    if (!store::ValidKey(key) || !has_value) return false;
     image->items[key] = {ToText(value->value), Count(doc, "stamp"), Count(doc, "tenancy")};
   } else if (Find(doc, "lease")) {
     image->leases[Count(doc, "lease")] = Micros{static_cast<int64_t>(Count(doc, "lifeUs"))};
   } else if (Find(doc, "change")) {
     store::LogRow row{Count(doc, "stamp"), Text(doc, "change"), std::nullopt};
-    if (value != doc.MemberEnd()) row.value = ToText(value->value);
+    if (has_value) row.value = ToText(value->value);
     image->log.push_back(std::move(row));
   } else if (Find(doc, "epoch")) {
     image->epoch = Count(doc, "epoch");
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -3,6 +3,7 @@
 
 #include "config/config.h"
 #include "rehearsal/history.h"
+#include "scale/core/capacity.h"
 #include "scale/core/plan.h"
 #include "scale/core/report.h"
 #include "scale/core/slopes.h"
@@ -193,5 +194,28 @@
   EXPECT_THROW(FitAll({rows.begin(), rows.begin() + 7}), config::Error);
 }
 
+TEST(Capacity, TablesGoBetweenTheMarksAndNowhereElse) {
+  const std::string begin = "<!-- badgershore-scale capacity: begin -->\n";
+  const std::string end = "<!-- badgershore-scale capacity: end -->\n";
+  EXPECT_EQ(WithTables("a\n" + begin + "old\n" + end + "z\n", "new\n"),
+            "a\n" + begin + "new\n" + end + "z\n");
+  EXPECT_THROW(WithTables("a\n", "new\n"), config::Error);
+}
+
+TEST(Capacity, SharesOfAWorkersBudgetAreItsOwn) {
+  std::vector<Row> rows = RowsOf(0, 0);
+  for (Row& row : rows) {
+    row.measures = {{"report bytes/s", row.load.workers * 700},
+                    {"hollow cores", row.load.workers * 0.007},
+                    {"hollow MB", row.load.workers * 32}};
+  }
+  Load load;
+  load.workers = 2000;
+  const std::string tables = CapacityTables(rows, load, WorkerBudget{0.014, 64, 7000});
+  EXPECT_NE(tables.find("| 7000 | 700 | 10.0% |"), std::string::npos) << tables;
+  EXPECT_NE(tables.find("| 0.0140 | 0.0070 | 50.0% |"), std::string::npos) << tables;
+  EXPECT_NE(tables.find("| 64.0 | 32.0 | 50.0% |"), std::string::npos) << tables;
+}
+
 }  // namespace
 }  // namespace badgershore::scale
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -1,8 +1,12 @@
 // The load balancer's and the supervisor's decisions.
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <set>
+
 #include "site/core/balance.h"
 #include "site/core/supervise.h"
+#include "site/process.h"
 
 namespace badgershore::site {
 namespace {
@@ -92,5 +96,17 @@
   EXPECT_TRUE(s.Tick(now += Seconds(60)).empty());  // and nothing is started again
 }
 
+TEST(SiteFreeAddress, IsBelowOutgoingPorts) {
+  std::ifstream in("/proc/sys/net/ipv4/ip_local_port_range");
+  int first_outgoing = 32768;
+  in >> first_outgoing;
+  std::set<std::string> given;
+  for (int i = 0; i < 100; ++i) {
+    const std::string address = site::FreeAddress();
+    EXPECT_LT(std::atoi(address.c_str() + address.rfind(':') + 1), first_outgoing) << address;
+    EXPECT_TRUE(given.insert(address).second) << address << " twice";
+  }
+}
+
 }  // namespace
 }  // namespace badgershore::site
