One reading of a site's settings for scenarios and scale plans

Cause: scale plans read the same keys as scenarios in lines of their own. Change: config::ReadSite with the defaults of each.

--- a/src/config/scenario.cpp
+++ b/src/config/scenario.cpp
@@ -115,8 +115,50 @@
   return t;
 }
 
+// What a scenario's site is where it does not say otherwise.
+PlatformSettings SmallSiteSettings() {
+  PlatformSettings s;
+  s.report_every = Seconds(1);
+  s.worker_lease = Seconds(10);
+  s.gang_wait = Seconds(30);
+  s.gang_peer = Seconds(6);
+  s.cancel_within = Seconds(40);
+  s.state_rps = 250;
+  s.state_write_rps = 15;
+  s.cloud_list_lag = Seconds(3);
+  s.quota_connections = 2000;
+  return s;
+}
+
 }  // namespace
 
+PlatformSettings ReadSite(YamlMap* site, const PlatformSettings& otherwise) {
+  PlatformSettings s = otherwise;
+  const auto span = [&](const char* key, double least, double most, Micros usual) {
+    return site->Span(key, least, most, usual.ToSeconds());
+  };
+  s.zones = site->Texts("zones");
+  if (s.zones.empty()) s.zones = {"a"};
+  s.site = s.zones[0];
+  s.report_every = span("report_s", 0.5, 60, otherwise.report_every);
+  s.worker_lease = span("lease_s", 2, 600, otherwise.worker_lease);
+  s.gang_wait = span("gang_wait_s", 1, 600, otherwise.gang_wait);
+  s.gang_peer = span("gang_peer_s", 0.5, 60, otherwise.gang_peer);
+  const double least_cancel_s = s.worker_lease.ToSeconds() + 1;
+  s.cancel_within = span("cancel_s", least_cancel_s, 3600, otherwise.cancel_within);
+  s.state_rps = site->Number("state_rps", 1, 1e6, otherwise.state_rps);
+  s.state_write_rps = site->Number("state_write_rps", 1, 1e6, otherwise.state_write_rps);
+  s.state_value_kb = site->Number("state_value_kb", 1, 64, otherwise.state_value_kb);
+  s.state_txn_ops =
+      static_cast<int>(site->Whole("state_txn_ops", 3, 1000, otherwise.state_txn_ops));
+  s.cloud_rps = site->Number("cloud_rps", 0.1, 1e4, otherwise.cloud_rps);
+  s.cloud_list_lag = span("cloud_list_lag_s", 0, 120, otherwise.cloud_list_lag);
+  s.quota_mem_mb = site->Number("controller_mem_mb", 16, 1e6, otherwise.quota_mem_mb);
+  s.quota_connections = static_cast<int>(
+      site->Whole("controller_connections", 100, 100000, otherwise.quota_connections));
+  return s;
+}
+
 Scenario LoadScenario(const std::string& file) { return ParseScenario(ReadFile(file), file); }
 
 Scenario SmallSite() { return ParseScenario(kSmallSite, "up.yaml"); }
@@ -132,22 +174,7 @@
   n.settle = top.Span("settle_s", 1, 86400, 900);
   PlatformSettings& s = n.site;
   YamlMap site = top.Map("site");
-  s.zones = site.Texts("zones");
-  if (s.zones.empty()) s.zones = {"a"};
-  s.site = s.zones[0];
-  s.report_every = site.Span("report_s", 0.5, 60, 1);
-  s.worker_lease = site.Span("lease_s", 2, 600, 10);
-  s.gang_wait = site.Span("gang_wait_s", 1, 600, 30);
-  s.gang_peer = site.Span("gang_peer_s", 0.5, 60, 6);
-  s.cancel_within = site.Span("cancel_s", s.worker_lease.ToSeconds() + 1, 3600, 40);
-  s.state_rps = site.Number("state_rps", 1, 1e6, 250);
-  s.state_write_rps = site.Number("state_write_rps", 1, 1e6, 15);
-  s.state_value_kb = site.Number("state_value_kb", 1, 64, 8);
-  s.state_txn_ops = static_cast<int>(site.Whole("state_txn_ops", 3, 1000, 8));
-  s.cloud_rps = site.Number("cloud_rps", 0.1, 1e4, 5);
-  s.cloud_list_lag = site.Span("cloud_list_lag_s", 0, 120, 3);
-  s.quota_mem_mb = site.Number("controller_mem_mb", 16, 1e6, 64);
-  s.quota_connections = static_cast<int>(site.Whole("controller_connections", 100, 100000, 2000));
+  s = ReadSite(&site, SmallSiteSettings());
   n.boot_spread = site.Number("boot_spread", 0, 0.5, 0.4);
   site.NoOthers();
   top.Each("teams", [&](YamlMap m) {
--- a/src/config/scenario.h
+++ b/src/config/scenario.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "config/yaml.h"
 #include "core/model/settings.h"
 #include "core/model/types.h"
 
@@ -91,6 +92,10 @@
   std::vector<Trouble> troubles;
 };
 
+// A site's part of a file; `otherwise` where it says nothing. The caller looks for keys that nobody
+// asked for.
+PlatformSettings ReadSite(YamlMap* site, const PlatformSettings& otherwise);
+
 // A config::Error names file, line and what was expected.
 Scenario LoadScenario(const std::string& file);
 // The same from its text; `file` names it in errors.
--- a/src/scale/core/plan.cpp
+++ b/src/scale/core/plan.cpp
@@ -49,25 +49,20 @@
   return phases;
 }
 
-PlatformSettings ReadSite(YamlMap m) {
+// What a plan's site is where it does not say otherwise: as at the larger deployments.
+PlatformSettings LargeSiteSettings() {
   PlatformSettings s;
-  s.zones = m.Texts("zones");
-  if (s.zones.empty()) s.zones = {"a"};
-  s.site = s.zones[0];
-  s.report_every = m.Span("report_s", 0.5, 60, 4);
-  s.worker_lease = m.Span("lease_s", 2, 600, 22);
-  s.gang_wait = m.Span("gang_wait_s", 1, 600, 30);
-  s.gang_peer = m.Span("gang_peer_s", 0.5, 60, 6);
-  s.cancel_within = m.Span("cancel_s", s.worker_lease.ToSeconds() + 1, 3600, 52);
-  s.state_rps = m.Number("state_rps", 1, 1e6, 900);
-  s.state_write_rps = m.Number("state_write_rps", 1, 1e6, 60);
-  s.state_value_kb = m.Number("state_value_kb", 1, 64, 8);
-  s.state_txn_ops = static_cast<int>(m.Whole("state_txn_ops", 3, 1000, 8));
-  s.cloud_rps = m.Number("cloud_rps", 0.1, 1e4, 10);
-  s.cloud_list_lag = m.Span("cloud_list_lag_s", 0, 120, 3);
-  s.quota_mem_mb = m.Number("controller_mem_mb", 16, 1e6, 512);
-  s.quota_connections = static_cast<int>(m.Whole("controller_connections", 100, 100000, 8000));
-  m.NoOthers();
+  s.report_every = Seconds(4);
+  s.worker_lease = Seconds(22);
+  s.gang_wait = Seconds(30);
+  s.gang_peer = Seconds(6);
+  s.cancel_within = Seconds(52);
+  s.state_rps = 900;
+  s.state_write_rps = 60;
+  s.cloud_rps = 10;
+  s.cloud_list_lag = Seconds(3);
+  s.quota_mem_mb = 512;
+  s.quota_connections = 8000;
   return s;
 }
 
@@ -187,7 +182,9 @@
   plan.bounds.processes = static_cast<int>(bounds.Whole("processes", 5, 200, 200));
   plan.bounds.memory_share = bounds.Number("memory_share", 0.01, 0.5, 0.5);
   bounds.NoOthers();
-  plan.site = ReadSite(top.Map("site"));
+  YamlMap site = top.Map("site");
+  plan.site = config::ReadSite(&site, LargeSiteSettings());
+  site.NoOthers();
   top.NoOthers();
   return plan;
 }
