The baton is the fencing token, the tally the sequence number, outside of the wire

Cause: PROTOCOL's own words stood in the program where the field has names. Change: identifiers, comments and log texts; JSON names stay in wire/.

--- a/src/agent/core/agent.cpp
+++ b/src/agent/core/agent.cpp
@@ -162,19 +162,19 @@
   }
 }
 
-void Agent::SeeBaton(Micros now, uint64_t baton) {
-  if (baton <= baton_) return;
-  baton_ = baton;
-  if (now < baton_change_from_) return;
-  baton_change_from_ = now + settings_.lease.Scaled(0.5);
+void Agent::SeeToken(Micros now, uint64_t fencing_token) {
+  if (fencing_token <= fencing_token_) return;
+  fencing_token_ = fencing_token;
+  if (now < token_change_from_) return;
+  token_change_from_ = now + settings_.lease.Scaled(0.5);
   Changed();
 }
 
-int Agent::OnDirect(Micros now, uint64_t baton, uint64_t session,
+int Agent::OnDirect(Micros now, uint64_t fencing_token, uint64_t session,
                     const std::vector<Order>& orders) {
   EndWhatIsDue(now);
-  if (baton < baton_ || session != session_) return 409;
-  SeeBaton(now, baton);
+  if (fencing_token < fencing_token_ || session != session_) return 409;
+  SeeToken(now, fencing_token);
   Obey(now, orders);
   return 200;
 }
@@ -187,8 +187,8 @@
   r.zone = settings_.machine.zone;
   r.spot = settings_.machine.spot;
   r.session = session_;
-  r.seq = ++tally_;
-  r.baton = baton_;
+  r.seq = ++sequence_;
+  r.fencing_token = fencing_token_;
   for (const auto& [key, held] : tasks_) {
     r.tasks.push_back({key.ref, key.attempt, held.state, held.cause, held.saved});
   }
@@ -233,9 +233,11 @@
 void Agent::Heed(Micros now, const CheckinAnswer& answer) {
   if (answer.status == 200) {
     // One with a lower token is dropped and renews nothing; this node is kept all the same.
-    if (reported_session_ != session_ || answer.baton < baton_ || answer.baton == 0) return;
+    if (reported_session_ != session_ || answer.fencing_token < fencing_token_ ||
+        answer.fencing_token == 0)
+      return;
     lease_end_ = std::max(lease_end_, sent_at_ + settings_.lease);
-    SeeBaton(now, answer.baton);
+    SeeToken(now, answer.fencing_token);
     return Obey(now, answer.orders);
   }
   const auto& names = settings_.controllers;
--- a/src/agent/core/agent.h
+++ b/src/agent/core/agent.h
@@ -59,7 +59,8 @@
   // The answer to a report; status 0: none within the time, or no connection.
   void OnAnswer(Micros now, uint64_t report_id, const CheckinAnswer& answer);
   // POST /do. The report to answer with is Status() afterwards; 200 or 409.
-  int OnDirect(Micros now, uint64_t baton, uint64_t session, const std::vector<Order>& orders);
+  int OnDirect(Micros now, uint64_t fencing_token, uint64_t session,
+               const std::vector<Order>& orders);
   Report Status();  // takes a new sequence number
 
   void OnDescription(Micros now, const std::string& job, std::optional<JobSpec> spec);
@@ -71,7 +72,7 @@
 
   std::vector<Command> Take() { return std::exchange(out_, {}); }
   uint64_t session() const { return session_; }
-  uint64_t baton() const { return baton_; }
+  uint64_t fencing_token() const { return fencing_token_; }
   size_t tasks() const { return tasks_.size(); }
   bool noticed() const { return notice_at_.has_value(); }
   Resources Free() const { return settings_.size - Used(); }
@@ -95,7 +96,7 @@
   void Admit(Micros now, const TaskKey& key, Held* held);
   void Launch(Micros now, const TaskKey& key, Held* held);
   void Exit(const TaskKey& key, Held* held, ExitCause cause, bool saved);
-  void SeeBaton(Micros now, uint64_t baton);
+  void SeeToken(Micros now, uint64_t fencing_token);
   void NextSession(Micros now);
   void SendReport(Micros now);
   void Next(Micros now);
@@ -113,7 +114,7 @@
   std::map<TaskKey, Held> tasks_;
   std::map<std::string, bool> images_;  // wanted or had: is it there?
   std::optional<Micros> notice_at_;     // when the machine is taken back
-  uint64_t session_ = 1, tally_ = 0, baton_ = 0;
+  uint64_t session_ = 1, sequence_ = 0, fencing_token_ = 0;
   Micros lease_end_;
   // Reporting.
   size_t at_ = 0;
@@ -122,7 +123,7 @@
   uint64_t reported_session_ = 0;
   Micros sent_at_, report_at_, hold_until_;
   bool changed_ = false;
-  Micros baton_change_from_;  // a higher baton counts as a change again from here on
+  Micros token_change_from_;  // a higher fencing token counts as a change again from here on
   std::vector<Command> out_;
 };
 
--- a/src/check/cancel_model.cpp
+++ b/src/check/cancel_model.cpp
@@ -143,8 +143,8 @@
     const Node& n = nodes[at];
     if (!n.election->leads() || !n.authority || !MayAnswer(at)) return;
     const uint64_t term = n.election->term();
-    if (term < baton) return;
-    const bool greeted = std::exchange(baton, term) != term;
+    if (term < fencing_token) return;
+    const bool greeted = std::exchange(fencing_token, term) != term;
     lease_end = WorkerClock() + kWorkerLease;
     if (on && n.jobs->synced() && !n.knows &&
         !(greeted && plan.planted == PlantedInAuthority::kNoHaltInGreeting)) {
@@ -213,7 +213,7 @@
     const auto until = [&](Micros at) { return std::to_string((at - now).count) + ' '; };
     std::string key = std::to_string(seconds) + ' ' + std::to_string(troubles) + ' ' +
                       std::to_string(at) + std::to_string(down) + std::to_string(on) + ' ' +
-                      std::to_string(baton) + ' ' + until(lease_end) + until(cancelled) +
+                      std::to_string(fencing_token) + ' ' + until(lease_end) + until(cancelled) +
                       std::to_string(state.epoch);
     for (const auto& [lease, end] : state.leases) key += std::to_string(lease) + until(end);
     for (size_t i = 0; i < nodes.size(); ++i) {
@@ -242,7 +242,7 @@
   int seconds = 0, troubles = 0;
   bool down = false, on = false;
   size_t at = 0;
-  uint64_t baton = 0;
+  uint64_t fencing_token = 0;
   Micros lease_end = kNever, cancelled{-1};
   std::string late;
 };
--- a/src/core/frontend/controller.cpp
+++ b/src/core/frontend/controller.cpp
@@ -254,17 +254,17 @@
 }
 
 void Controller::OnDirect(Micros now, RequestId id, DirectReply reply) {
-  if (reply.report) election_->NoteBaton(reply.report->baton);
+  if (reply.report) election_->NoteFencingToken(reply.report->fencing_token);
   asker_.Reply(now, id, reply);
   former_.reset();
 }
 
 void Controller::OnCheckin(Micros now, RequestId token, const Report& report) {
-  election_->NoteBaton(report.baton);
+  election_->NoteFencingToken(report.fencing_token);
   CheckinAnswer answer;
   answer.token = token;
-  if (leader_ && report.baton > election_->term()) {
-    election_->StepDown(now, "a worker has seen a higher baton");
+  if (leader_ && report.fencing_token > election_->term()) {
+    election_->StepDown(now, "a worker has seen a higher fencing token");
   }
   if (leader_) {
     const auto verdict = leader_->Checkin(now, token, report, &answer.orders);
@@ -273,7 +273,7 @@
     if (verdict == Leader::Verdict::kStale) return asker_.out.checkins.push_back(std::move(answer));
     if (verdict == Leader::Verdict::kAnswer) {
       answer.status = 200;
-      answer.baton = election_->term();
+      answer.fencing_token = election_->term();
       answer.good_until = leader_->GoodUntil(answer.orders);
       asker_.out.checkins.push_back(std::move(answer));
       return;
--- a/src/core/frontend/election.cpp
+++ b/src/core/frontend/election.cpp
@@ -103,7 +103,7 @@
       return;
     }
     const uint64_t lease = r.lease;
-    const uint64_t term = std::max(seen_term_, seen_baton_) + 1;
+    const uint64_t term = std::max(seen_term_, seen_fencing_token_) + 1;
     StateOp commit;
     commit.kind = StateOp::Kind::kCommit;
     commit.guards = {{keys::kLead, Vacant() ? lead_stamp_ : 0}, {keys::kTerm, seen_term_stamp_}};
@@ -162,8 +162,8 @@
   std::string out = std::to_string(static_cast<int>(role_)) + ' ' + std::to_string(term_) + ' ' +
                     std::to_string(term_stamp_) + ' ' + std::to_string(lease_id_) + ' ';
   out += in(lease_until_) + in(renew_at_) + in(stand_at_) + leader_ + ' ' + next_ + ' ';
-  for (const uint64_t n : {lead_stamp_, lead_revision_, seen_term_, seen_term_stamp_, seen_baton_,
-                           next_stamp_, free_stamp_}) {
+  for (const uint64_t n : {lead_stamp_, lead_revision_, seen_term_, seen_term_stamp_,
+                           seen_fencing_token_, next_stamp_, free_stamp_}) {
     out += std::to_string(n) + ' ';
   }
   return out + (renewing_ ? "r" : "") + (retiring_ ? "e" : "") + (handing_over_ ? "h" : "") +
--- a/src/core/frontend/election.h
+++ b/src/core/frontend/election.h
@@ -43,8 +43,10 @@
   uint64_t term_stamp() const { return term_stamp_; }
   const std::string& leader() const { return leader_; }
   uint64_t seen_term() const { return seen_term_; }
-  // A baton seen at a worker: the next term must be above it.
-  void NoteBaton(uint64_t baton) { seen_baton_ = std::max(seen_baton_, baton); }
+  // A fencing token seen at a worker: the next term must be above it.
+  void NoteFencingToken(uint64_t fencing_token) {
+    seen_fencing_token_ = std::max(seen_fencing_token_, fencing_token);
+  }
   bool synced() const { return mirror_.synced(); }
   // All that it goes by, with times from now on: equal for states that go on alike.
   std::string Show(Micros now) const;
@@ -80,7 +82,7 @@
   // As the state service shows them.
   std::string leader_;
   uint64_t lead_stamp_ = 0, lead_revision_ = 0, seen_term_ = 0, seen_term_stamp_ = 0,
-           seen_baton_ = 0;
+           seen_fencing_token_ = 0;
   Micros stand_at_;
 };
 
--- a/src/core/leader/checkins.cpp
+++ b/src/core/leader/checkins.cpp
@@ -23,7 +23,7 @@
   Machine* m = machine_table().Find(report.machine);
   if (m && m->Passed(report)) return Verdict::kStale;
   // Starts go only to a worker that has seen this term: then no earlier leader's order counts.
-  if (report.baton != election()->term()) return Greet(now, report, orders);
+  if (report.fencing_token != election()->term()) return Greet(now, report, orders);
   if (!m) {
     m = machine_table().Adopt(now, report.machine, report.endpoint, report.type, report.zone,
                               report.spot);
@@ -115,7 +115,7 @@
     CheckinAnswer answer;
     answer.token = m->held_checkins[i];
     answer.status = 200;
-    answer.baton = election()->term();
+    answer.fencing_token = election()->term();
     // Only the newest one is certain to be awaited still.
     if (i + 1 == m->held_checkins.size()) OrdersFor(now, m, &answer.orders);
     answer.good_until = GoodUntil(answer.orders);
--- a/src/core/leader/leader.cpp
+++ b/src/core/leader/leader.cpp
@@ -111,7 +111,7 @@
     if (verdict == Verdict::kLater) continue;
     if (verdict == Verdict::kAnswer) {
       answer.status = 200;
-      answer.baton = context_.election->term();
+      answer.fencing_token = context_.election->term();
       answer.good_until = GoodUntil(answer.orders);
     }
     context_.asker->out.checkins.push_back(std::move(answer));
--- a/src/core/leader/machine_table.cpp
+++ b/src/core/leader/machine_table.cpp
@@ -135,7 +135,7 @@
   DirectOp op;
   op.machine = m->id;
   op.endpoint = m->endpoint;
-  op.baton = election()->term();
+  op.fencing_token = election()->term();
   op.session = m->session;
   for (auto& [key, o] : m->occupants) {
     if (o.halt && !o.exited() && !o.unsent) {
@@ -150,7 +150,7 @@
                   }));
 }
 
-// Raises the baton at a machine and learns what is on it.
+// Raises the fencing token at a machine and learns what is on it.
 void MachineTable::Probe(Micros now, Machine* m) {
   if (m->probing || m->endpoint.empty()) return;
   m->probing = true;
@@ -159,15 +159,15 @@
   DirectOp op;
   op.machine = m->id;
   op.endpoint = m->endpoint;
-  op.baton = election()->term();
+  op.fencing_token = election()->term();
   op.session = std::max<uint64_t>(m->session, 1);
   asker()->Direct(op, Guarded([this, id = m->id, asked = op.session](Micros t, DirectReply& r) {
                     Machine* machine = Find(id);
                     if (!machine) return;
                     machine->probing = false;
                     if (!r.report || r.report->machine != id) return;
-                    if (r.report->baton > election()->term()) {
-                      return election()->StepDown(t, "machine " + id + " has seen a higher baton");
+                    if (r.report->fencing_token > election()->term()) {
+                      return election()->StepDown(t, "machine " + id + " has seen a higher fencing token");
                     }
                     const bool known_session = r.report->session == asked;
                     if (r.status == 200 || !known_session) Absorb(t, machine, *r.report, false);
--- a/src/core/model/effects.h
+++ b/src/core/model/effects.h
@@ -100,7 +100,7 @@
 struct Report {
   std::string machine, endpoint, type, zone;
   bool spot = false;
-  uint64_t session = 0, seq = 0, baton = 0;
+  uint64_t session = 0, seq = 0, fencing_token = 0;
   std::optional<Micros> notice;
   std::vector<ReportedTask> tasks;
 };
@@ -115,14 +115,14 @@
   RequestId token = 0;
   int status = 503;  // 200, 421 or 503
   std::string leader;
-  uint64_t baton = 0;
+  uint64_t fencing_token = 0;
   std::vector<Order> orders;
   Micros good_until = kNever;  // its starts may not leave after that: the report gets 503
 };
 struct DirectOp {
   RequestId id = 0;
   std::string machine, endpoint;
-  uint64_t baton = 0, session = 0;
+  uint64_t fencing_token = 0, session = 0;
   std::vector<Order> orders;
 };
 struct DirectReply {
--- a/src/rehearsal/machines.cpp
+++ b/src/rehearsal/machines.cpp
@@ -184,7 +184,7 @@
   }
   const std::optional<DirectOp> op = wire::ParseDirect(call.body);
   if (!op) return Respond(id, 400, "{}");
-  const int status = it->second.agent->OnDirect(now_, op->baton, op->session, op->orders);
+  const int status = it->second.agent->OnDirect(now_, op->fencing_token, op->session, op->orders);
   Respond(id, status, wire::FormatReport(it->second.agent->Status()));
   PumpMachine(machine);
 }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -234,7 +234,7 @@
   r.spot = Flag(doc, "loaners");
   r.session = Count(doc, "tenure");
   r.seq = Count(doc, "tally");
-  r.baton = Count(doc, "baton");
+  r.fencing_token = Count(doc, "baton");
   if (const Value* n = Find(doc, "recallS"); n && n->IsNumber()) r.notice = Seconds(n->GetDouble());
   if (r.machine.empty() || r.machine.size() > kNameLimit || r.session == 0) return std::nullopt;
   if (const Value* legs = List(doc, "legs")) {
@@ -256,7 +256,7 @@
   Writer w;
   w.Begin();
   if (a.status == 200) {
-    w.Put("baton", a.baton);
+    w.Put("baton", a.fencing_token);
     PutOrders(&w, a.orders);
   } else if (a.status == 421 && !a.leader.empty()) {
     w.Put("overseer", a.leader);
@@ -266,7 +266,7 @@
 
 std::string FormatDirect(const DirectOp& op) {
   Writer w;
-  w.Begin().Put("baton", op.baton).Put("tenure", op.session);
+  w.Begin().Put("baton", op.fencing_token).Put("tenure", op.session);
   PutOrders(&w, op.orders);
   return w.End().Done();
 }
@@ -279,7 +279,7 @@
   Writer w;
   w.Begin().Put("sett", r.machine).Put("endpoint", r.endpoint).Put("build", r.type);
   w.Put("yard", r.zone).Put("loaners", r.spot).Put("tenure", r.session).Put("tally", r.seq);
-  w.Put("baton", r.baton);
+  w.Put("baton", r.fencing_token);
   if (r.notice) w.Put("recallS", r.notice->ToSeconds());
   w.Key("legs").BeginList();
   for (const ReportedTask& t : r.tasks) {
@@ -328,7 +328,7 @@
     if (status == 200) a.status = 0;
     return a;
   }
-  a.baton = Count(doc, "baton");
+  a.fencing_token = Count(doc, "baton");
   a.leader = Text(doc, "overseer");
   a.orders = ParseOrders(doc);
   return a;
@@ -338,7 +338,7 @@
   rapidjson::Document doc;
   if (!ParseObject(body, &doc) || !Find(doc, "baton") || !Find(doc, "tenure")) return std::nullopt;
   DirectOp op;
-  op.baton = Count(doc, "baton");
+  op.fencing_token = Count(doc, "baton");
   op.session = Count(doc, "tenure");
   op.orders = ParseOrders(doc);
   return op;
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -20,11 +20,11 @@
     }
     return std::exchange(sent, std::nullopt);
   }
-  void Answer(const Command& report, uint64_t baton, std::vector<Order> orders = {},
+  void Answer(const Command& report, uint64_t fencing_token, std::vector<Order> orders = {},
               int status = 200, std::string leader = "") {
     CheckinAnswer a;
     a.status = status;
-    a.baton = baton;
+    a.fencing_token = fencing_token;
     a.orders = std::move(orders);
     a.leader = std::move(leader);
     agent.OnAnswer(now, report.report_id, a);
@@ -70,7 +70,7 @@
     }
     return nullptr;
   }
-  // Up to running, in the first session under baton 5.
+  // Up to running, in the first session under fencing token 5.
   void Running(Shape shape = Shape::kArray) {
     Answer(*Report(), 5, {Start("job-1", 0, 1)});
     agent.OnDescription(now, "job-1", Spec(shape));
@@ -101,7 +101,7 @@
   const auto next = Report();
   ASSERT_TRUE(next);
   EXPECT_TRUE(Find(*next, 0, 1));
-  EXPECT_EQ(next->report.baton, 5u);
+  EXPECT_EQ(next->report.fencing_token, 5u);
 }
 
 TEST_F(Worker, RefusesWhatItCannotTake) {
--- a/tests/standins.cpp
+++ b/tests/standins.cpp
@@ -176,8 +176,8 @@
 
 void Worker::Obey(const std::string& body) {
   rapidjson::Document doc;
-  if (!wire::ParseObject(body, &doc) || Count(doc, "baton") < baton_) return;
-  baton_ = Count(doc, "baton");
+  if (!wire::ParseObject(body, &doc) || Count(doc, "baton") < fencing_token_) return;
+  fencing_token_ = Count(doc, "baton");
   for (const Value& o : Find(doc, "orders")->GetArray()) {
     const std::string verb = Text(o, "verb"), task = Text(o, "leg");
     auto it = tasks_.find(task);
@@ -199,8 +199,8 @@
   for (;;) {
     Writer w;
     w.Begin().Put("sett", name_).Put("endpoint", "127.0.0.1:9").Put("build", "box");
-    w.Put("yard", "a").Put("loaners", false).Put("tenure", 1).Put("tally", ++tally_);
-    w.Put("baton", baton_).Key("legs").BeginList();
+    w.Put("yard", "a").Put("loaners", false).Put("tenure", 1).Put("tally", ++sequence_);
+    w.Put("baton", fencing_token_).Key("legs").BeginList();
     for (auto& [name, t] : tasks_) {
       if (!t.exited && io::Loop::Now() >= t.until) t.exited = t.done = true;
       w.Begin()
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -85,7 +85,7 @@
   std::vector<std::string> controllers_;
   size_t at_ = 0;
   Micros run_;
-  uint64_t tally_ = 0, baton_ = 0;
+  uint64_t sequence_ = 0, fencing_token_ = 0;
   std::map<std::string, Running> tasks_;
 };
 
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -322,7 +322,8 @@
         if (a.token != checkin_token_) continue;
         last_checkin_ = std::to_string(a.status);
         if (a.status == 200) {
-          last_checkin_ += " baton " + std::to_string(a.baton) + ": " + ShowOrders(a.orders);
+          last_checkin_ +=
+              " baton " + std::to_string(a.fencing_token) + ": " + ShowOrders(a.orders);
         }
         if (a.status == 421) last_checkin_ += " " + a.leader;
       }
@@ -334,8 +335,8 @@
         }
       }
       for (DirectOp& d : out.direct) {
-        std::string text = "direct " + d.machine + " baton " + std::to_string(d.baton) + ": " +
-                           ShowOrders(d.orders);
+        std::string text = "direct " + d.machine + " baton " + std::to_string(d.fencing_token) +
+                           ": " + ShowOrders(d.orders);
         seen_.push_back(text);
         direct_[d.machine].push_back(d);
       }
@@ -457,9 +458,9 @@
     r.spot = w.Has("spot");
     r.session = static_cast<uint64_t>(w.Number("tenure", 1));
     r.seq =
-        w.named.count("tally") ? static_cast<uint64_t>(w.Number("tally", 0)) : ++tally_[machine];
-    tally_[machine] = std::max(tally_[machine], r.seq);
-    r.baton = static_cast<uint64_t>(w.Number("baton", 1));
+        w.named.count("tally") ? static_cast<uint64_t>(w.Number("tally", 0)) : ++sequence_[machine];
+    sequence_[machine] = std::max(sequence_[machine], r.seq);
+    r.fencing_token = static_cast<uint64_t>(w.Number("baton", 1));
     if (w.named.count("notice")) r.notice = Seconds(w.Number("notice", 0));
     static const std::map<std::string, RunState> kStates = {{"fetching", RunState::kFetching},
                                                             {"gathering", RunState::kGathering},
@@ -646,7 +647,7 @@
   bool cloud_up_ = true, cloud_silent_ = false, rents_ = false;
   int rented_ = 0;
   RequestId token_ = 0, checkin_token_ = 0;
-  std::map<std::string, uint64_t> tally_;
+  std::map<std::string, uint64_t> sequence_;
   std::string last_checkin_, last_answer_;
 };
 
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -147,7 +147,7 @@
   EXPECT_FALSE(ParseReport("{}"));
   CheckinAnswer a;
   a.status = 200;
-  a.baton = 7;
+  a.fencing_token = 7;
   a.orders = {{Order::Verb::kHalt, {"job-1", 3}, 2, Seconds(10)}};
   EXPECT_EQ(FormatCheckinAnswer(a),
             R"({"baton":7,"orders":[{"verb":"halt","leg":"job-1/3","try":2,"windDownS":10.0}]})");
