--- a/src/core/leader/machine_table.cpp
+++ b/src/core/leader/machine_table.cpp
@@ -167,7 +167,8 @@
                     machine->probing = false;
                     if (!r.report || r.report->machine != id) return;
                     if (r.report->fencing_token > election()->term()) {
-                      return election()->StepDown(t, "machine " + id + " has seen a higher fencing token");
+                      return election()->StepDown(
+                          t, "machine " + id + " has seen a higher fencing token");
                     }
                     const bool known_session = r.report->session == asked;
                     if (r.status == 200 || !known_session) Absorb(t, machine, *r.report, false);
