--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -60,19 +60,11 @@
 }
 
 void Node::LogWaits() {
-  const double all = boost::histogram::algorithm::sum(waits_);
-  if (all == 0) return;
-  const auto quantile = [&](double q) {
-    double seen = 0;
-    for (auto&& bin : boost::histogram::indexed(waits_, boost::histogram::coverage::all)) {
-      seen += *bin;
-      if (seen >= q * all) return bin.bin().upper();
-    }
-    return waits_.axis().value(waits_.axis().size());
-  };
-  spdlog::info("{} answers to users: half within {:.1f} ms, 95% within {:.1f} ms", all,
-               quantile(0.5), quantile(0.95));
-  waits_.reset();
+  stats::Durations& waits = metrics_.user_waits;
+  if (waits.count() == 0) return;
+  spdlog::info("{} answers to users: half within {:.1f} ms, 95% within {:.1f} ms", waits.count(),
+               waits.Quantile(0.5) * 1000, waits.Quantile(0.95) * 1000);
+  waits.Reset();
 }
 
 io::Task<void> Node::Ticks() {
@@ -155,6 +147,7 @@
 }
 
 io::Task<void> Node::RunCloud(CloudOp op) {
+  ++metrics_.cloud_calls;
   const RequestId id = op.id;
   CloudReply reply = co_await cloud_.Run(std::move(op));
   core_.OnCloud(io::Loop::Now(), id, std::move(reply));
@@ -162,6 +155,7 @@
 }
 
 io::Task<void> Node::RunDirect(DirectOp op) {
+  ++metrics_.direct_calls;
   const RequestId id = op.id;
   http::Client client(loop_, op.endpoint, 0, http::Limits{8192, 16384, 1024 * 1024});
   std::string body = wire::FormatDirect(op);
@@ -185,12 +179,18 @@
     if (core_.Healthy(io::Loop::Now())) co_return http::ServerAnswer{200, "{\"ok\":true}", 0};
     co_return Plain(503, "not ready");
   }
+  if (path == "/metrics") co_return HandleMetrics();
   if (path == "/work" || path.compare(0, 6, "/work/") == 0) {
     co_return co_await HandleWork(std::move(request), std::move(path));
   }
   co_return Plain(404, "no such path");
 }
 
+http::ServerAnswer Node::HandleMetrics() {
+  metrics_.state = state_.traffic();
+  return {200, metrics_.Text(core_.leads(), loop_->TakeLongestTurn()), 0};
+}
+
 io::Task<http::ServerAnswer> Node::HandleWork(http::Message request, std::string path) {
   const RequestId token = ++next_token_;
   io::Slot<UserAnswer> slot(loop_);
@@ -217,7 +217,8 @@
   Flush();
   std::optional<UserAnswer> answer = co_await slot.Wait(now + Seconds(4));
   users_.erase(token);
-  waits_(static_cast<double>((io::Loop::Now() - now).count) / 1000.0);
+  metrics_.user_waits.Add((io::Loop::Now() - now).ToSeconds());
+  ++metrics_.user_requests;
   if (!answer) co_return Plain(503, "no answer in time");
   co_return http::ServerAnswer{answer->status, wire::FormatAnswer(*answer), answer->retry_after_s};
 }
@@ -225,6 +226,8 @@
 io::Task<http::ServerAnswer> Node::HandleCheckin(http::Message request) {
   const std::optional<Report> report = wire::ParseReport(request.body);
   if (!report) co_return Plain(400, "malformed report");
+  ++metrics_.reports;
+  metrics_.report_bytes += request.body.size();
   const RequestId token = ++next_token_;
   io::Slot<CheckinAnswer> slot(loop_);
   checkins_[token] = &slot;
@@ -235,7 +238,9 @@
   checkins_.erase(token);
   if (!answer) co_return Plain(503, "no answer in time");
   if (io::Loop::Now() >= answer->good_until) co_return Plain(503, "the lease has ended");
-  co_return http::ServerAnswer{answer->status, wire::FormatCheckinAnswer(*answer), 0};
+  std::string body = wire::FormatCheckinAnswer(*answer);
+  metrics_.report_answer_bytes += body.size();
+  co_return http::ServerAnswer{answer->status, std::move(body), 0};
 }
 
 }  // namespace badgershore::adapters
--- a/src/adapters/node.h
+++ b/src/adapters/node.h
@@ -1,12 +1,12 @@
 // A running controller: the core on the loop, with its edges.
 #pragma once
 
-#include <boost/histogram.hpp>
 #include <memory>
 #include <string>
 #include <unordered_map>
 
 #include "adapters/cloud_client.h"
+#include "adapters/metrics.h"
 #include "adapters/state_client.h"
 #include "core/frontend/controller.h"
 #include "http/server.h"
@@ -24,6 +24,7 @@
  private:
   io::Task<void> WindDown(std::function<void()> done);
   io::Task<http::ServerAnswer> Handle(http::Message request);
+  http::ServerAnswer HandleMetrics();
   io::Task<http::ServerAnswer> HandleWork(http::Message request, std::string path);
   io::Task<http::ServerAnswer> HandleCheckin(http::Message request);
   io::Task<void> Ticks();
@@ -40,10 +41,7 @@
   CloudClient cloud_;
   peer::Link link_;
   http::Server server_;
-  // How long users waited for their answers, in milliseconds, since the last line in the log.
-  using LogAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-  using Waits = decltype(boost::histogram::make_histogram(LogAxis(48, 0.1, 10000.0)));
-  Waits waits_ = boost::histogram::make_histogram(LogAxis(48, 0.1, 10000.0));
+  Metrics metrics_;
   void LogWaits();
   Micros waits_logged_;
 
--- a/src/adapters/state_client.cpp
+++ b/src/adapters/state_client.cpp
@@ -30,6 +30,15 @@
       requests_(loop, settings.state_addr, 8, kLimits),
       watches_(loop, settings.state_addr, 3, kLimits) {}
 
+http::Traffic StateClient::traffic() const {
+  http::Traffic sum = requests_.traffic();
+  const http::Traffic& watches = watches_.traffic();
+  sum.requests += watches.requests;
+  sum.sent += watches.sent;
+  sum.received += watches.received;
+  return sum;
+}
+
 io::Task<bool> StateClient::Pace() {
   const Micros start = io::Loop::Now();
   bool granted = false;
--- a/src/adapters/state_client.h
+++ b/src/adapters/state_client.h
@@ -13,6 +13,7 @@
  public:
   StateClient(io::Loop* loop, const PlatformSettings& settings);
   io::Task<StateReply> Run(StateOp op);
+  http::Traffic traffic() const;  // requests and watches
 
  private:
   io::Task<bool> Pace();
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -183,6 +183,8 @@
       {"autoscale",
        {{"idle_boots", number(&o.idle_boots, 0, 1000)},
         {"gang_idle_boots", number(&o.gang_idle_boots, 0, 1000)},
+        {"keep_machines",
+         Field{0, 100000, [&o](double v) { o.keep_machines = static_cast<int>(v); }}},
         {"gang_spare", number(&o.gang_spare, 0, 10)},
         {"arrival_doubt", number(&o.arrival_doubt, 0, 100)},
         {"ready_spread", number(&o.ready_spread, 0, 10)},
--- a/src/config/scenario.cpp
+++ b/src/config/scenario.cpp
@@ -146,6 +146,8 @@
   s.state_txn_ops = static_cast<int>(site.Whole("state_txn_ops", 3, 1000, 8));
   s.cloud_rps = site.Number("cloud_rps", 0.1, 1e4, 5);
   s.cloud_list_lag = site.Span("cloud_list_lag_s", 0, 120, 3);
+  s.quota_mem_mb = site.Number("controller_mem_mb", 16, 1e6, 64);
+  s.quota_connections = static_cast<int>(site.Whole("controller_connections", 100, 100000, 2000));
   n.boot_spread = site.Number("boot_spread", 0, 0.5, 0.4);
   site.NoOthers();
   top.Each("teams", [&](YamlMap m) {
--- a/src/config/scenario.h
+++ b/src/config/scenario.h
@@ -82,6 +82,8 @@
   PlatformSettings site;
   std::vector<std::string> cells;  // empty: one. Each has the machine types, and `up` of each
   double boot_spread = 0.4;
+  // Users ask once more about a job that is over, after a time between these.
+  double recheck_least_s = 10, recheck_most_s = 30;
   std::vector<MachineOffer> types;
   std::vector<JobClass> classes;
   std::vector<Withdrawal> withdrawals;
--- a/src/core/model/settings.h
+++ b/src/core/model/settings.h
@@ -80,6 +80,7 @@
   Micros resolve_soon = Seconds(1.2);  // so long after they were asked: hardly any (2%) are
   double idle_boots = 0.6;             // idle for so many boot times: given back
   double gang_idle_boots = 1.2;        // the same for machines that gangs need most of
+  int keep_machines = 0;               // so many stay, idle or not
   double gang_spare = 1.0;  // room kept for gangs, as a share of what a boot's time brings
   Micros drain_target = Seconds(30);
   double drain_share = 0.45;
--- a/src/core/placement/autoscale.cpp
+++ b/src/core/placement/autoscale.cpp
@@ -512,6 +512,10 @@
     size_t tasks;
   };
   std::vector<Spare> spares;
+  int surplus = -options_.keep_machines;  // what may go, idle or not
+  for (const Machine* m : view.machines) {
+    surplus += Usable(*m) && m->stage == MachineStage::kUp && !m->retiring;
+  }
   for (Machine* m : view.machines) {
     if (!Usable(*m) || m->stage != MachineStage::kUp || plan->keep.count(m)) continue;
     const bool for_gangs = ForGangs(*m->type, m->zone, m->spot, view.now);
@@ -524,8 +528,10 @@
       const bool is_cheap = !m->retiring && cheap({m->type_name, m->zone, m->spot}, c);
       // Given back by idleness alone, the cheap ones went and the dear ones, rented later, stayed.
       if (is_cheap && cheap_have - c < ready) continue;
+      if (!m->retiring && surplus <= 0) continue;
       if (!gang_lately && view.now - m->idle_since >= limit && held >= kMinimumPaid) {
         plan->give_back.push_back(m);
+        surplus -= !m->retiring;
         if (is_cheap) cheap_have -= c;
         continue;
       }
@@ -543,9 +549,11 @@
            std::make_tuple(-b.price, b.tasks, b.machine->id);
   });
   for (const Spare& s : spares) {
+    if (surplus <= 0) break;
     if (have - s.cap < (s.price > kNearCheapest * cheapest ? floor : std::max(floor, running)))
       continue;
     plan->retire.push_back(s.machine);
+    --surplus;
     have -= s.cap;
   }
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -7,6 +7,7 @@
   const Micros deadline = io::Loop::Now() + timeout;
   const std::string wire = FormatRequest(method, target, addr_, body, keep_ == 0);
   ClientAnswer answer;
+  ++traffic_.requests;
   // A kept connection may have been closed under us. Reading twice does no harm, so a GET is
   // tried once more on a new one; a change is not, since it may have been carried out.
   for (int round = 0; round < 2; ++round) {
@@ -27,6 +28,7 @@
     }
     answer.outcome = ClientAnswer::Outcome::kUnknown;
     const bool sent = co_await socket.WriteAll(wire, deadline);
+    traffic_.sent += wire.size();
     Parser parser(Parser::Kind::kResponse, limits_);
     bool any = false;
     while (sent && !parser.done() && !parser.bad()) {
@@ -34,6 +36,7 @@
       const ssize_t n = co_await socket.Read(buffer, sizeof(buffer), deadline);
       if (n <= 0) break;
       any = true;
+      traffic_.received += static_cast<uint64_t>(n);
       parser.Feed(std::string_view(buffer, static_cast<size_t>(n)));
     }
     if (parser.done()) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,6 +1,7 @@
 // A client for one address, which keeps a few connections open between requests.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,11 @@
 
 namespace badgershore::http {
 
+// What a client has sent and received since it was made; bytes with heads.
+struct Traffic {
+  uint64_t requests = 0, sent = 0, received = 0;
+};
+
 struct ClientAnswer {
   // kNotSent: the request surely never reached the other side.
   enum class Outcome { kAnswered, kNotSent, kUnknown } outcome = Outcome::kNotSent;
@@ -24,6 +30,7 @@
 
   io::Task<ClientAnswer> Request(std::string method, std::string target, std::string body,
                                  Micros timeout);
+  const Traffic& traffic() const { return traffic_; }
 
  private:
   struct Idle {
@@ -35,6 +42,7 @@
   size_t keep_;
   Limits limits_;
   std::vector<Idle> idle_;
+  Traffic traffic_;
 };
 
 }  // namespace badgershore::http
--- a/src/io/loop.cpp
+++ b/src/io/loop.cpp
@@ -72,7 +72,7 @@
   epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &ev);
 }
 
-void Loop::RunTimers() {
+Micros Loop::RunTimers() {
   const Micros now = Now();
   while (!timers_.empty() && timers_.begin()->first <= now) {
     Waiter* w = timers_.begin()->second;
@@ -82,6 +82,7 @@
     w->queued = true;
     ready_.push_back(w);
   }
+  return now;
 }
 
 void Loop::RunReady() {
@@ -95,10 +96,13 @@
 void Loop::Run() {
   epoll_event events[64];
   RunReady();
+  Micros turn_began = Now();
   while (running_) {
     int wait_ms = 1000;
     if (!timers_.empty()) {
-      const int64_t us = (timers_.begin()->first - Now()).count;
+      const Micros now = Now();
+      longest_turn_ = std::max(longest_turn_, now - turn_began);
+      const int64_t us = (timers_.begin()->first - now).count;
       wait_ms = us <= 0 ? 0 : static_cast<int>(std::min<int64_t>(1000, (us + 999) / 1000));
     }
     const int n = epoll_wait(epoll_, events, 64, wait_ms);
@@ -106,7 +110,7 @@
       auto* state = static_cast<FdState*>(events[i].data.ptr);
       if (Waiter* w = std::exchange(state->waiter, nullptr)) Wake(w);
     }
-    RunTimers();
+    turn_began = RunTimers();
     RunReady();
   }
 }
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -39,6 +39,9 @@
   void Stop() { running_ = false; }
   void Restart() { running_ = true; }  // Run may be called again
 
+  // The longest that the loop worked without looking for new events, since the last call.
+  Micros TakeLongestTurn() { return std::exchange(longest_turn_, Micros{}); }
+
   void Arm(Waiter* w, Micros deadline);
   void Wake(Waiter* w);  // resumes from the loop, not from inside the caller
 
@@ -61,13 +64,15 @@
     Waiter* waiter = nullptr;  // a socket is used by one coroutine at a time
   };
   void Add(int fd, FdState* state);
-  void RunTimers();
+  // Now, when the due timers have been taken.
+  Micros RunTimers();
   void RunReady();
 
   int epoll_ = -1;
   bool running_ = true;
   std::multimap<Micros, Waiter*> timers_;
   std::deque<Waiter*> ready_;
+  Micros longest_turn_;
 };
 
 // A non-blocking TCP socket registered with the loop for its whole life.
--- /dev/null
+++ b/src/programs/scale.cpp
@@ -0,0 +1,160 @@
+// badgershore-scale: plays a site of a given size on one machine, with hollow workers and users
+// against real controllers and a real state service, and says what each role used.
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "config/config.h"
+#include "programs/common.h"
+#include "scale/core/slopes.h"
+#include "scale/run.h"
+
+namespace {
+
+using namespace badgershore;
+
+std::string ProgramFolder() {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+}
+
+// A folder of its own that goes with the object, unless it is to be kept.
+class RunFolder {
+ public:
+  explicit RunFolder(std::string kept) : path_(std::move(kept)), keep_(!path_.empty()) {
+    if (keep_) return;
+    path_ = (std::filesystem::temp_directory_path() / "badgershore-scale-XXXXXX").string();
+    if (!::mkdtemp(path_.data())) throw config::Error(path_ + ": can't be made");
+  }
+  RunFolder(const RunFolder&) = delete;
+  RunFolder& operator=(const RunFolder&) = delete;
+  ~RunFolder() {
+    std::error_code ignored;
+    if (!keep_) std::filesystem::remove_all(path_, ignored);
+  }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+  bool keep_;
+};
+
+scale::Report PlayOnce(const scale::Plan& plan, uint64_t seed, const std::string& keep) {
+  const RunFolder folder(keep);
+  scale::RunOptions options;
+  options.programs = ProgramFolder();
+  options.dir = folder.path();
+  options.seed = seed;
+  options.progress = ::isatty(STDERR_FILENO) == 1;
+  scale::Run run(plan, std::move(options));
+  return run.Play();
+}
+
+void WriteFile(const std::string& file, const std::string& text) {
+  std::ofstream out(file);
+  out << text;
+  if (!out.flush()) throw config::Error(file + ": can't be written");
+}
+
+int RunPlan(const std::string& file, uint64_t seed, const std::string& json,
+            const std::string& keep) {
+  const scale::Report report = PlayOnce(scale::LoadPlan(file), seed, keep);
+  if (json == "-") {
+    std::printf("%s\n", scale::ToJson(report).c_str());
+  } else {
+    std::printf("%s", scale::ToTable(report).c_str());
+    if (!json.empty()) WriteFile(json, scale::ToJson(report) + "\n");
+  }
+  return report.clean() ? 0 : 1;
+}
+
+std::vector<double> ParseSizes(const std::string& text) {
+  std::vector<double> sizes;
+  std::istringstream in(text);
+  for (std::string part; std::getline(in, part, ',');) {
+    char* end = nullptr;
+    const double size = std::strtod(part.c_str(), &end);
+    if (part.empty() || *end != '\0' || size <= 0) {
+      throw config::Error("--sizes: expected numbers above 0 with commas between them");
+    }
+    sizes.push_back(size);
+  }
+  return sizes;
+}
+
+// The sizes in turn, and that `repeats` times, so that drift of the machine meets all alike.
+int Sweep(const std::string& file, const std::string& axis, const std::string& sizes, int repeats,
+          const std::string& out) {
+  const scale::Plan plan = scale::LoadPlan(file);
+  const std::vector<double> values = ParseSizes(sizes);
+  for (const double value : values) scale::WithAxis(plan, axis, value);  // checks the axis
+  bool clean = true;
+  for (int repeat = 1; repeat <= repeats; ++repeat) {
+    for (const double value : values) {
+      const scale::Plan varied = scale::WithAxis(plan, axis, value);
+      const scale::Report report = PlayOnce(varied, static_cast<uint64_t>(repeat), "");
+      clean = clean && report.clean();
+      if (!report.stopped.empty()) throw config::Error("stopped: " + report.stopped);
+      const scale::Row row = {axis, value, repeat, scale::LoadOf(varied),
+                              scale::MeasuresOf(report)};
+      std::ofstream(out, std::ios::app) << scale::ToJsonLine(row);
+      std::printf("%s %g, %d of %d: leader %.3f cores, %.1f starts a second%s\n", axis.c_str(),
+                  value, repeat, repeats, row.measures.at("leader cores"),
+                  report.starts_reached_per_s, report.clean() ? "" : ", NOT CLEAN");
+      std::fflush(stdout);
+    }
+  }
+  return clean ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"badgershore-scale: plays a site of a given size on one machine"};
+  app.set_version_flag("--version", std::string("badgershore-scale ") + BADGERSHORE_VERSION);
+  app.require_subcommand(1);
+  std::string file, json, keep, log_format = "text";
+  uint64_t seed = 1;
+  programs::AddLogFormat(&app, &log_format);
+  const auto verb = [&](const char* name, const char* help) {
+    CLI::App* sub = app.add_subcommand(name, help);
+    sub->fallthrough();
+    return sub;
+  };
+  CLI::App* run = verb("run", "Play a plan; exit 1 where a rule is broken or a job stays open");
+  run->add_option("plan", file, "A plan (YAML), as in deploy/scale")->required();
+  run->add_option("--seed", seed, "All chance comes from it")->capture_default_str();
+  run->add_option("--json", json, "Write the report there; - for standard output, alone");
+  run->add_option("--keep", keep, "Keep settings, state and logs in this folder");
+  std::string axis, sizes, out = "slopes.jsonl";
+  int repeats = 3;
+  CLI::App* sweep = verb("sweep", "Play a plan at several sizes along one axis, for slopes");
+  sweep->add_option("plan", file, "A plan (YAML)")->required();
+  sweep
+      ->add_option("--axis", axis,
+                   "workers, starts_per_s, teams, tasks_per_job, task_run_s or gang_size")
+      ->required();
+  sweep->add_option("--sizes", sizes, "With commas between them")->required();
+  sweep->add_option("--repeats", repeats, "Runs of each size")->check(CLI::Range(1, 100));
+  sweep->add_option("--out", out, "A row a run is appended there")->capture_default_str();
+  CLI::App* check = verb("check", "Check a plan's file");
+  check->add_option("plan", file, "A plan (YAML)")->required();
+  if (const int code = programs::Parse(&app, argc, argv); code >= 0) return code;
+  if (!programs::SetUpLog("badgershore-scale", log_format)) return programs::kBadInput;
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    if (*run) return RunPlan(file, seed, json, keep);
+    if (*sweep) return Sweep(file, axis, sizes, repeats, out);
+    const scale::Plan plan = scale::LoadPlan(file);
+    std::printf("%s is good: %d workers, %.0f starts a second, %.0f tasks at once, %d teams\n",
+                plan.name.c_str(), plan.workers, plan.starts_per_s, plan.running_tasks(),
+                plan.teams);
+    return 0;
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "badgershore-scale: %s\n", e.what());
+  }
+  return programs::kBadInput;
+}
--- a/src/rehearsal/network.cpp
+++ b/src/rehearsal/network.cpp
@@ -77,10 +77,13 @@
 // A caller that has given up does not keep its request from being carried out.
 void World::Serve(uint64_t id, const std::string& to, const wire::Call& call) {
   if (IsNode(to) && outside_) {
-    return outside_->CallNode(NodeIndex(to), call, [this, id](int status, const std::string& body) {
-      if (status == kNoAnswer) return;  // its caller's patience tells
-      Respond(id, status, body);
-    });
+    const auto caller = pending_.find(id);
+    if (caller == pending_.end()) return;  // it has given up
+    return outside_->CallNode(caller->second.from, NodeIndex(to), call,
+                              [this, id](int status, const std::string& body) {
+                                if (status == kNoAnswer) return;  // its caller's patience tells
+                                Respond(id, status, body);
+                              });
   }
   if (IsNode(to)) {
     const Micros again = call.target == "/checkin" && id != 0
--- a/src/rehearsal/site.h
+++ b/src/rehearsal/site.h
@@ -8,6 +8,7 @@
 #include "rehearsal/world.h"
 #include "site/process.h"
 #include "site/relay.h"
+#include "stats/durations.h"
 
 namespace badgershore::rehearsal {
 
@@ -16,6 +17,7 @@
   std::string dir;       // settings, state and logs
   std::string listen = "127.0.0.1:0";
   uint64_t seed = 1;
+  std::string controller_options;  // the operators' own settings (YAML); empty: none
 };
 
 class Site : public Outside {
@@ -29,6 +31,22 @@
   std::string address() const { return relay_.address(); }
   bool ready() const { return relay_.ready(); }
   World& world() { return world_; }
+
+  // What workers, or users, have exchanged with the controllers.
+  struct Traffic : http::Traffic {
+    stats::Durations waits;  // from asking to the answer
+  };
+  const Traffic& report_traffic() const { return report_traffic_; }
+  const Traffic& user_traffic() const { return user_traffic_; }
+  const std::vector<std::string>& node_addresses() const { return nodes_; }
+  const std::string& state_address() const { return state_addr_; }
+  // The state service is child 0, controller N is child N + 1.
+  const site::Processes& processes() const { return processes_; }
+  // Set before Start.
+  std::function<void(const Event&)> on_event;
+  void OnProcessEnded(std::function<void(const std::string& name, int status)> told) {
+    processes_.on_ended = std::move(told);
+  }
   // What users would see: jobs that live and that are over, machines up and asked for.
   struct Counts {
     int live = 0, over = 0, up = 0, starting = 0;
@@ -38,15 +56,19 @@
 
   std::string OpenMachine(const std::string& id) override;
   void CloseMachine(const std::string& id) override;
-  void CallNode(size_t node, const wire::Call& call, Reply reply) override;
+  void CallNode(const std::string& from, size_t node, const wire::Call& call, Reply reply) override;
   void Describe(const std::string& job, std::function<void(std::optional<JobSpec>)> then) override;
   void KillNode(size_t node, Micros back_after) override { processes_.Kill(node + 1, back_after); }
+  void Observe(const Event& event) override {
+    if (on_event) on_event(event);
+  }
   void RestartState(Micros back_after) override { processes_.Kill(0, back_after); }
 
  private:
   io::Task<void> Drive();
   io::Task<http::ServerAnswer> Serve(std::string host, http::Message m);
-  io::Task<void> Call(std::string addr, wire::Call call, Reply reply);
+  io::Task<void> Call(std::shared_ptr<http::Client> client, wire::Call call, Reply reply);
+  std::shared_ptr<http::Client> ClientOf(const std::string& from, size_t node);
   std::vector<site::Command> Commands();
   std::string Settings(size_t node) const;
 
@@ -56,6 +78,12 @@
   std::string state_addr_, cloud_addr_;
   std::vector<std::string> nodes_, backs_;
   std::map<std::string, std::unique_ptr<http::Server>> machines_;
+  struct WorkerConnection {
+    size_t node = 0;
+    std::shared_ptr<http::Client> client;
+  };
+  std::map<std::string, WorkerConnection> connections_;  // by machine
+  Traffic report_traffic_, user_traffic_;
   http::Server cloud_;
   site::Relay relay_;
   site::Processes processes_;
--- a/src/rehearsal/users.cpp
+++ b/src/rehearsal/users.cpp
@@ -151,7 +151,8 @@
         return;
       }
       // It may be asked about at any later time, and must be told the same.
-      const Micros next = final ? Between(10, 30) : Between(4, 6);
+      const Micros next =
+          final ? Between(scenario_.recheck_least_s, scenario_.recheck_most_s) : Between(4, 6);
       return Later(now_ + next, [=, this] { Poll(job, final); });
     }
     e.kind = status == 404 ? Event::Kind::kUnknownJob : Event::Kind::kNoAnswer;
--- a/src/rehearsal/world.cpp
+++ b/src/rehearsal/world.cpp
@@ -95,6 +95,7 @@
   if (!e.machine.empty()) e.machine = prefix_ + e.machine;
   stage_->checker.See(e);
   stage_->service.See(e);
+  if (outside_) outside_->Observe(e);
   stage_->result.history += Line(e) + "\n";
 }
 
--- /dev/null
+++ b/src/scale/core/start_times.cpp
@@ -0,0 +1,70 @@
+#include "scale/core/start_times.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace badgershore::scale {
+namespace {
+
+using rehearsal::Event;
+constexpr int64_t kSecondUs = 1000000;
+
+double SecondsBetween(int64_t from_us, int64_t to_us) {
+  return static_cast<double>(to_us - from_us) / kSecondUs;
+}
+
+}  // namespace
+
+void StartTimes::See(const Event& event) {
+  if (first_us_ < 0) first_us_ = event.at_us;
+  switch (event.kind) {
+    case Event::Kind::kSubmitted:
+      jobs_[event.job] = {event.facts.lane, event.facts.tasks, event.at_us, {}};
+      ++lanes_[event.facts.lane].submitted;
+      return;
+    case Event::Kind::kTaskOn:
+      return Started(event);
+    case Event::Kind::kTaskOff:
+      --running_;
+      return;
+    default:
+      return;
+  }
+}
+
+void StartTimes::Started(const Event& event) {
+  ++starts_;
+  most_running_ = std::max(most_running_, ++running_);
+  const size_t second = static_cast<size_t>((event.at_us - first_us_) / kSecondUs);
+  if (second >= per_second_.size()) per_second_.resize(second + 1);
+  ++per_second_[second];
+  const auto found = jobs_.find(event.job);
+  if (found == jobs_.end()) return;  // each of its tasks was started before
+  Job& job = found->second;
+  Lane& lane = lanes_[job.lane];
+  const double waited_s = SecondsBetween(job.submitted_us, event.at_us);
+  if (job.started.empty()) lane.first_start.Add(waited_s);
+  job.started.insert(event.task);
+  if (static_cast<int>(job.started.size()) < job.tasks) return;
+  lane.last_start.Add(waited_s);
+  ++lane.started_whole;
+  jobs_.erase(found);
+}
+
+int StartTimes::busiest_second() const {
+  return per_second_.empty() ? 0 : *std::max_element(per_second_.begin(), per_second_.end());
+}
+
+double StartTimes::busiest_mean(size_t span_s) const {
+  if (span_s == 0 || per_second_.size() < span_s) return 0;
+  const auto span = static_cast<std::ptrdiff_t>(span_s);
+  int sum = std::accumulate(per_second_.begin(), per_second_.begin() + span, 0);
+  int most = sum;
+  for (size_t i = span_s; i < per_second_.size(); ++i) {
+    sum += per_second_[i] - per_second_[i - span_s];
+    most = std::max(most, sum);
+  }
+  return static_cast<double>(most) / static_cast<double>(span_s);
+}
+
+}  // namespace badgershore::scale
--- /dev/null
+++ b/src/scale/run.cpp
@@ -0,0 +1,230 @@
+#include "scale/run.h"
+
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <sstream>
+
+#include "config/config.h"
+#include "io/mailbox.h"
+#include "scale/process_usage.h"
+#include "wire/json.h"
+
+namespace badgershore::scale {
+namespace {
+
+constexpr Micros kLook = Seconds(1);
+constexpr size_t kBestSpanS = 10;
+constexpr http::Limits kAnswerLimits{8 * 1024, 16 * 1024, 1024 * 1024};
+// A listener, a connection and direct calls a worker, and some for users and files.
+constexpr int kDescriptorsPerWorker = 3, kOtherDescriptors = 1000;
+// The fleet's size is the plan's: idle workers are not returned.
+std::string ControllerOptions(const Plan& plan) {
+  return "autoscale: {keep_machines: " + std::to_string(plan.workers) + "}\n";
+}
+
+void CheckDescriptors(int workers) {
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  const rlim_t wanted = static_cast<rlim_t>(workers * kDescriptorsPerWorker + kOtherDescriptors);
+  if (limit.rlim_cur >= wanted) return;
+  throw config::Error("file descriptors: expected at least " + std::to_string(wanted) +
+                      " for this plan (ulimit -n), found " + std::to_string(limit.rlim_cur));
+}
+
+Counters ParseMetrics(const std::string& text) {
+  Counters out;
+  std::istringstream in(text);
+  for (std::string line; std::getline(in, line);) {
+    const size_t space = line.find(' ');
+    if (line.empty() || line[0] == '#' || space == std::string::npos) continue;
+    out[line.substr(0, space)] = std::atof(line.c_str() + space + 1);
+  }
+  return out;
+}
+
+struct Boundary {
+  Micros at;
+  std::string phase;  // that begins then
+};
+
+std::vector<Boundary> BoundariesOf(const Plan& plan, Micros began) {
+  const Phases& phases = plan.phases;
+  const Micros peak_from = began + phases.ramp + phases.steady;
+  std::vector<Boundary> out = {{began + phases.ramp, "steady"}, {peak_from, "peak"}};
+  const bool faults = plan.faults.kill_leader || plan.faults.lose_workers > 0;
+  // Before the first fault, which comes in the middle of the peak.
+  if (faults) out.push_back({peak_from + phases.peak.Scaled(0.5) - Millis(200), "faults"});
+  out.push_back({began + phases.load(), "settle"});
+  return out;
+}
+
+ProcessSample SampleOf(const ProcessUsage& usage) {
+  return {usage.cpu_s, usage.resident_mb, usage.peak_mb};
+}
+
+}  // namespace
+
+Run::Run(const Plan& plan, RunOptions options)
+    : plan_(plan), options_(std::move(options)), scenario_(ToScenario(plan)) {
+  CheckDescriptors(plan_.workers);
+  rehearsal::SiteOptions site;
+  site.programs = options_.programs;
+  site.dir = options_.dir;
+  site.seed = options_.seed;
+  site.controller_options = ControllerOptions(plan_);
+  site_ = std::make_unique<rehearsal::Site>(&loop_, scenario_, std::move(site));
+  site_->on_event = [this](const rehearsal::Event& event) { start_times_.See(event); };
+  site_->OnProcessEnded([this](const std::string& name, int status) {
+    const bool killed = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+    if (ending_ || (killed && plan_.faults.kill_leader)) return;
+    const std::string how = WIFSIGNALED(status)
+                                ? "signal " + std::to_string(WTERMSIG(status))
+                                : "exit code " + std::to_string(WEXITSTATUS(status));
+    process_ends_.push_back(
+        {"process_ended", (io::Loop::Now() - began_).ToSeconds(), name + ": " + how});
+  });
+}
+
+Report Run::Play() {
+  began_ = io::Loop::Now();
+  std::string error;
+  if (!site_->Start([this] { loop_.Stop(); }, &error)) throw config::Error(error);
+  io::OnEndSignals(&loop_, [this] { Stop("interrupted"); });
+  io::Spawn(Measure());
+  loop_.Run();
+  if (options_.progress) std::fprintf(stderr, "\n");
+  return Summary();
+}
+
+void Run::Stop(const std::string& why) {
+  if (std::exchange(ending_, true)) return;
+  stopped_ = why;
+  site_->Stop();
+}
+
+io::Task<std::string> Run::Fetch(std::string address, std::string target) {
+  http::Client client(&loop_, address, 0, kAnswerLimits);
+  const http::ClientAnswer answer =
+      co_await client.Request("GET", std::move(target), "", Seconds(2));
+  co_return answer.answered() ? answer.body : std::string();
+}
+
+io::Task<Sample> Run::TakeSample(std::string phase) {
+  Sample sample;
+  sample.at_s = (io::Loop::Now() - began_).ToSeconds();
+  sample.phase = std::move(phase);
+  const site::Processes& processes = site_->processes();
+  for (size_t child = 0; child < processes.size(); ++child) {
+    const auto usage = ReadUsage(processes.pid(child));
+    const std::string name = child == 0 ? "state" : rehearsal::NodeName(child - 1);
+    if (usage) sample.processes[name] = SampleOf(*usage);
+  }
+  if (const auto own = ReadUsage(::getpid())) sample.processes["hollow"] = SampleOf(*own);
+  sample.reports = site_->report_traffic().requests;
+  sample.report_bytes = site_->report_traffic().sent + site_->report_traffic().received;
+  sample.starts = start_times_.starts();
+  for (size_t node = 0; node < site_->node_addresses().size(); ++node) {
+    const std::string text = co_await Fetch(site_->node_addresses()[node], "/metrics");
+    Counters counters = ParseMetrics(text);
+    if (counters["badgershore_leader"] != 1) continue;
+    sample.leader = rehearsal::NodeName(node);
+    sample.leader_counters = std::move(counters);
+  }
+  // A key that is not there is answered with the number of changes made so far.
+  const std::string absent = co_await Fetch(site_->state_address(), "/store/scale/absent");
+  rapidjson::Document document;
+  if (wire::ParseObject(absent, &document)) {
+    sample.state_epoch = wire::Number(document, "epoch");
+  }
+  co_return sample;
+}
+
+// False where the run ends first.
+io::Task<bool> Run::WaitUntil(Micros at) {
+  while (!ending_ && io::Loop::Now() < at) {
+    CheckBounds();
+    co_await loop_.Sleep(std::min(kLook, at - io::Loop::Now()));
+  }
+  co_return !ending_;
+}
+
+io::Task<void> Run::Measure() {
+  const Sample first = co_await TakeSample("ramp");
+  samples_.push_back(first);
+  for (const Boundary& boundary : BoundariesOf(plan_, began_)) {
+    ShowProgress(samples_.back().phase);
+    const bool goes_on = co_await WaitUntil(boundary.at);
+    if (!goes_on) co_return;
+    const Sample sample = co_await TakeSample(boundary.phase);
+    samples_.push_back(sample);
+  }
+  // The site ends by itself once each job is over, or the time to settle is.
+  while (!ending_ && !site_->world().over()) {
+    ShowProgress("settle");
+    CheckBounds();
+    co_await loop_.Sleep(Millis(200));
+  }
+  ending_ = true;
+}
+
+void Run::CheckBounds() {
+  double memory_mb = 0;
+  int running = 1;  // this one
+  const site::Processes& processes = site_->processes();
+  for (size_t child = 0; child < processes.size(); ++child) {
+    const auto usage = ReadUsage(processes.pid(child));
+    if (!usage) continue;
+    ++running;
+    memory_mb += usage->resident_mb;
+  }
+  if (const auto own = ReadUsage(::getpid())) memory_mb += own->resident_mb;
+  most_memory_mb_ = std::max(most_memory_mb_, memory_mb);
+  most_processes_ = std::max(most_processes_, running);
+  if (memory_mb > plan_.bounds.memory_share * MachineMemoryMb()) Stop("the memory bound");
+  if (running > plan_.bounds.processes) Stop("the bound on processes");
+  if (options_.progress && !samples_.empty()) ShowProgress(samples_.back().phase);
+}
+
+void Run::ShowProgress(const std::string& phase) const {
+  if (!options_.progress) return;
+  std::fprintf(stderr, "\r%-8s %5.0f s  %7llu starts  %6d running  %6.0f MB   ", phase.c_str(),
+               (io::Loop::Now() - began_).ToSeconds(),
+               static_cast<unsigned long long>(start_times_.starts()), start_times_.running(),
+               most_memory_mb_);
+}
+
+Report Run::Summary() {
+  const rehearsal::Result result = site_->world().End();
+  Report report;
+  report.plan = plan_.name;
+  report.workers = plan_.workers;
+  report.teams = plan_.teams;
+  report.starts_asked_per_s = plan_.starts_per_s;
+  report.running_asked = plan_.running_tasks();
+  report.starts_reached_per_s = start_times_.busiest_mean(kBestSpanS);
+  report.busiest_second = start_times_.busiest_second();
+  report.most_running = start_times_.most_running();
+  report.starts = start_times_.starts();
+  for (size_t i = 1; i < samples_.size(); ++i) {
+    report.phases.push_back(Between(samples_[i - 1], samples_[i], plan_.workers));
+  }
+  for (const auto& [lane, times] : start_times_.lanes()) report.waits[lane] = WaitOf(times);
+  report.answer_p50_ms = site_->user_traffic().waits.Quantile(0.5) * 1000;
+  report.answer_p99_ms = site_->user_traffic().waits.Quantile(0.99) * 1000;
+  report.report_p50_ms = site_->report_traffic().waits.Quantile(0.5) * 1000;
+  report.report_p99_ms = site_->report_traffic().waits.Quantile(0.99) * 1000;
+  report.most_memory_mb = most_memory_mb_;
+  report.most_processes = most_processes_;
+  report.done = result.done;
+  report.open = result.open;
+  report.broken = result.broken;
+  report.broken.insert(report.broken.end(), process_ends_.begin(), process_ends_.end());
+  report.stopped = stopped_;
+  return report;
+}
+
+}  // namespace badgershore::scale
--- a/src/site/process.cpp
+++ b/src/site/process.cpp
@@ -9,6 +9,8 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
+#include <stdexcept>
 
 namespace badgershore::site {
 namespace {
@@ -82,16 +84,41 @@
   over();
 }
 
-std::string FreeAddress() {
+namespace {
+
+constexpr int kFirstPort = 10000;
+
+// The first port that outgoing connections may take theirs from.
+int FirstOutgoingPort() {
+  constexpr int kUsual = 32768;
+  std::ifstream in("/proc/sys/net/ipv4/ip_local_port_range");
+  int first = kUsual;
+  return in >> first && first > kFirstPort ? first : kUsual;
+}
+
+bool Free(int port) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in sa{};
-  socklen_t size = sizeof(sa);
-  sa.sin_family = AF_INET;
-  sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::bind(fd, reinterpret_cast<sockaddr*>(&sa), sizeof(sa));
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&sa), &size);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  const bool free = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
   ::close(fd);
-  return "127.0.0.1:" + std::to_string(ntohs(sa.sin_port));
+  return free;
+}
+
+}  // namespace
+
+std::string FreeAddress() {
+  static const int ports = FirstOutgoingPort() - kFirstPort;
+  // Sites that start at the same time look in different places.
+  static int next = static_cast<int>(::getpid() * 37 % ports);
+  for (int tries = 0; tries < ports; ++tries) {
+    const int port = kFirstPort + next;
+    next = (next + 1) % ports;
+    if (Free(port)) return "127.0.0.1:" + std::to_string(port);
+  }
+  throw std::runtime_error("no free port below those of outgoing connections");
 }
 
 }  // namespace badgershore::site
--- a/src/site/process.h
+++ b/src/site/process.h
@@ -27,6 +27,8 @@
   void Start(std::function<void()> over);
   void Stop();
   void Kill(size_t child, Micros back_after);
+  size_t size() const { return pids_.size(); }
+  pid_t pid(size_t child) const { return pids_[child]; }  // 0: it does not run
   // An ended child is told here, with its wait status.
   std::function<void(const std::string& name, int status)> on_ended;
 
@@ -41,7 +43,9 @@
   Supervisor supervisor_;
 };
 
-// A free loopback port, as HOST:PORT. Nothing keeps it from being taken until it is used.
+// A free loopback port, as HOST:PORT, below those that outgoing connections take theirs from: one
+// of them would hold it for a minute after its end. Each is given once in turn; std::runtime_error
+// where none is free.
 std::string FreeAddress();
 
 }  // namespace badgershore::site
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -64,6 +64,7 @@
   Writer& Put(const char* k, int v) { return Key(k), w_.Int(v), *this; }
   Writer& Put(const char* k, double v) { return Key(k), w_.Double(v), *this; }
   Writer& Put(const char* k, bool v) { return Key(k), w_.Bool(v), *this; }
+  Writer& Real(double v) { return w_.Double(v), *this; }
   Writer& Int(int64_t v) { return w_.Int64(v), *this; }
   Writer& Str(const std::string& v) {
     return w_.String(v.data(), static_cast<rapidjson::SizeType>(v.size())), *this;
