--- a/tests/kept_scenario_test.cpp
+++ b/tests/kept_scenario_test.cpp
@@ -33,6 +33,7 @@
                                                    "leader-unheard",
                                                    "leader-without-state",
                                                    "leaders-stand-still",
+                                                   "limits-cancelled-beside-reserved-start",
                                                    "limits-cut-between",
                                                    "limits-equal",
                                                    "limits-flood",
