Log and metrics say what a term's quota decisions rest on

The quota incident's logs could not tell which of three hypotheses held: they name neither what counts as uncertain use, nor on which machines, nor how a machine was reconciled, nor how old the jobs were that a term began with.

New at info level: while some use is uncertain a line when it changes, at most one a second (QuotaLog): cores, machines unreconciled, machines with tasks of unknown jobs and the first such task, what was placed for limited teams meanwhile with their use, reservations and limit. `term N ready` says the revision and age of the jobs read; `all machines reconciled` by which proof.

--- a/src/adapters/controller_server.cpp
+++ b/src/adapters/controller_server.cpp
@@ -218,7 +218,9 @@
 
 http::ServerAnswer ControllerServer::HandleMetrics() {
   metrics_.state = state_.traffic();
-  return {200, metrics_.Text(core_.leads(), loop_->TakeLongestTurn()), 0};
+  std::optional<LeaderGauges> leader;
+  if (core_.leader()) leader = core_.leader()->Gauges(io::Loop::Now());
+  return {200, metrics_.Text(leader, loop_->TakeLongestTurn()), 0};
 }
 
 io::Task<http::ServerAnswer> ControllerServer::HandleJobRequest(http::Message request,
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "core/leader/leader.h"
 #include "core/model/time.h"
 #include "http/client.h"
 #include "stats/durations.h"
@@ -20,8 +22,8 @@
   http::Traffic state;          // requests to the state service, watches among them
   stats::Durations user_waits;  // users' answers since the last line in the log
 
-  // The counters, whether this controller leads, and the loop's longest turn, as text.
-  std::string Text(bool leads, Micros longest_turn) const;
+  // The counters, the term that this controller leads, and the loop's longest turn, as text.
+  std::string Text(const std::optional<LeaderGauges>& leader, Micros longest_turn) const;
 };
 
 }  // namespace badgershore::adapters
--- a/src/core/leader/agent_client.cpp
+++ b/src/core/leader/agent_client.cpp
@@ -73,7 +73,7 @@
     heartbeat_processor().Process(now, machine, heartbeat, HeartbeatSource::kDirectCall);
   }
   if (accepted) {
-    reconciler().MarkReconciled(now, machine);
+    reconciler().MarkReconciled(now, machine, ReconciliationProof::kDirectCall);
   } else if (!epoch_was_known && !machine->reconciled) {
     Probe(now, machine);  // the epoch is known now
   }
--- a/src/core/leader/failure_detector.cpp
+++ b/src/core/leader/failure_detector.cpp
@@ -96,7 +96,7 @@
   if (machine->allocations.empty() && machine->reconciled) return;
   outbox()->Info("machine " + machine->id + ": lease expired");
   machine_table().DropAllocations(now, machine);
-  reconciler().MarkReconciled(now, machine);
+  reconciler().MarkReconciled(now, machine, ReconciliationProof::kLeaseExpiry);
   machine->first_answered_at = {-1};
 }
 
--- a/src/core/leader/heartbeat_handler.cpp
+++ b/src/core/leader/heartbeat_handler.cpp
@@ -55,7 +55,7 @@
     AgentClient::AppendStops(*machine, commands);
     return Outcome::kAnswer;
   }
-  reconciler().MarkReconciled(now, machine);
+  reconciler().MarkReconciled(now, machine, ReconciliationProof::kHeartbeat);
   if (!machine->durable && authority().MayStart(now)) {
     record_writer().PersistMachine(now, machine);
     AddPending(now, machine, request_id);
--- a/src/core/leader/leader.cpp
+++ b/src/core/leader/leader.cpp
@@ -27,6 +27,7 @@
       job_table_(&context_),
       usage_accounting_(&context_),
       quota_checker_(&context_),
+      quota_log_(&context_),
       quota_reservations_(&context_),
       machine_table_(&context_),
       agent_client_(&context_),
@@ -57,6 +58,7 @@
   context_.job_table = &job_table_;
   context_.usage_accounting = &usage_accounting_;
   context_.quota_checker = &quota_checker_;
+  context_.quota_log = &quota_log_;
   context_.quota_reservations = &quota_reservations_;
   context_.machine_table = &machine_table_;
   context_.agent_client = &agent_client_;
@@ -124,7 +126,10 @@
   quota_shares_.Begin(now);
   context_.outbox->Info("term " + std::to_string(context_.election->term()) +
                         " ready: " + std::to_string(job_table_.jobs().size()) + " jobs, " +
-                        std::to_string(machine_table_.machines().size()) + " machines on record");
+                        std::to_string(machine_table_.machines().size()) +
+                        " machines on record; jobs as of revision " +
+                        std::to_string(jobs_cache_->revision()) + ", " +
+                        std::to_string((now - jobs_cache_->known_as_of()).ToMillis()) + " ms old");
   for (auto& [id, job] : job_table_.jobs()) {
     if (job->remaining() == 0) record_writer_.PersistJobEnd(id);
   }
@@ -179,6 +184,17 @@
   assert(VerifyCounts().empty());
 }
 
+LeaderGauges Leader::Gauges(Micros now) const {
+  LeaderGauges gauges;
+  gauges.term = context_.election->term();
+  gauges.unreconciled_machines = reconciler_.unreconciled().size();
+  gauges.machines_with_unknown_tasks = usage_accounting_.machines_with_unknown_tasks();
+  gauges.uncertain_millicores = usage_accounting_.uncertain_use().cpu;
+  gauges.uncertain_placements = quota_log_.uncertain_placements();
+  gauges.cancellations_age = now - jobs_cache_->known_as_of();
+  return gauges;
+}
+
 void Leader::RetryFailedLoads(Micros now) {
   std::vector<Load> due;
   for (size_t i = failed_loads_.size(); i-- > 0;) {
@@ -212,6 +228,7 @@
   heartbeat_handler_.AnswerReady(now);
   record_writer_.WriteBatch(now);
   provisioner_.Tick(now);
+  quota_log_.Tick(now);
 }
 
 }  // namespace badgershore
--- a/src/core/leader/leader.h
+++ b/src/core/leader/leader.h
@@ -25,6 +25,7 @@
 #include "core/leader/machine_table.h"
 #include "core/leader/provisioner.h"
 #include "core/leader/quota_checker.h"
+#include "core/leader/quota_log.h"
 #include "core/leader/quota_reservations.h"
 #include "core/leader/quota_shares.h"
 #include "core/leader/reconciler.h"
@@ -36,6 +37,16 @@
 
 namespace badgershore {
 
+// What the current term rests on, for GET /metrics.
+struct LeaderGauges {
+  uint64_t term = 0;  // the fencing token
+  size_t unreconciled_machines = 0;
+  int machines_with_unknown_tasks = 0;
+  int64_t uncertain_millicores = 0;
+  uint64_t uncertain_placements = 0;  // for limited teams, while use was uncertain
+  Micros cancellations_age;           // every older cancellation is known
+};
+
 class Leader {
  public:
   // `context` names what is outside of the term; its start and its components are set here.
@@ -70,6 +81,7 @@
   const QuotaShares& quota_shares() const { return quota_shares_; }
   bool recording() const { return record_writer_.IsWriteInFlight(); }
   bool ready() const { return ready_; }
+  LeaderGauges Gauges(Micros now) const;
   bool ReceivesNoHeartbeats(Micros now) const {
     return ready_ && failure_detector_.ReceivesNoHeartbeats(now);
   }
@@ -112,6 +124,7 @@
   JobTable job_table_;
   UsageAccounting usage_accounting_;
   QuotaChecker quota_checker_;
+  QuotaLog quota_log_;
   QuotaReservations quota_reservations_;
   MachineTable machine_table_;
   AgentClient agent_client_;
--- a/src/core/leader/leader_component.h
+++ b/src/core/leader/leader_component.h
@@ -29,6 +29,7 @@
 class GangReservations;
 class GangScheduler;
 class QuotaChecker;
+class QuotaLog;
 class QuotaReservations;
 class Reconciler;
 class UsageAccounting;
@@ -66,6 +67,7 @@
   GangReservations* gang_reservations = nullptr;
   GangScheduler* gang_scheduler = nullptr;
   QuotaChecker* quota_checker = nullptr;
+  QuotaLog* quota_log = nullptr;
   QuotaReservations* quota_reservations = nullptr;
   Reconciler* reconciler = nullptr;
   UsageAccounting* usage_accounting = nullptr;
@@ -108,6 +110,7 @@
   GangReservations& gang_reservations() const { return *context_->gang_reservations; }
   GangScheduler& gang_scheduler() const { return *context_->gang_scheduler; }
   QuotaChecker& quota_checker() const { return *context_->quota_checker; }
+  QuotaLog& quota_log() const { return *context_->quota_log; }
   QuotaReservations& quota_reservations() const { return *context_->quota_reservations; }
   Reconciler& reconciler() const { return *context_->reconciler; }
   UsageAccounting& usage_accounting() const { return *context_->usage_accounting; }
--- a/src/core/leader/machine_table.cpp
+++ b/src/core/leader/machine_table.cpp
@@ -87,7 +87,7 @@
   auto it = machines_.find(id);
   if (it == machines_.end()) return;
   Machine* machine = it->second.get();
-  reconciler().MarkReconciled(now, machine);
+  reconciler().MarkReconciled(now, machine, ReconciliationProof::kRemoval);
   dispatch().Unbind(machine);
   DropAllocations(now, machine);
   for (RequestId request_id : machine->pending_heartbeats) {
--- a/src/core/leader/quota_checker.cpp
+++ b/src/core/leader/quota_checker.cpp
@@ -66,16 +66,18 @@
   return std::max<int64_t>(0, Limit(team).cpu - not_preemptible);
 }
 
+std::string QuotaChecker::Describe(int team) const {
+  return "team " + settings().teams[static_cast<size_t>(team)].name + " uses " +
+         CoresText(usage_accounting().Used(team).cpu) + " of " + CoresText(Limit(team).cpu) +
+         " cores, reserved for gangs " + CoresText(quota_reservations().Reserved(team).cpu) +
+         ", uncertain " + CoresText(usage_accounting().uncertain_use().cpu);
+}
+
 std::string QuotaChecker::Summary() const {
-  const auto cores = [](int64_t millicores) { return std::to_string(millicores / 1000); };
   std::string out;
   for (size_t i = 0; i < settings().teams.size(); ++i) {
     const int team = static_cast<int>(i);
-    if (!IsLimited(team)) continue;
-    out += "; team " + settings().teams[i].name + " uses " +
-           cores(usage_accounting().Used(team).cpu) + " of " + cores(Limit(team).cpu) +
-           " cores, reserved for gangs " + cores(quota_reservations().Reserved(team).cpu) +
-           ", uncertain " + cores(usage_accounting().uncertain_use().cpu);
+    if (IsLimited(team)) out += "; " + Describe(team);
   }
   return out;
 }
--- a/src/core/leader/quota_checker.h
+++ b/src/core/leader/quota_checker.h
@@ -40,7 +40,9 @@
   // limit, by preemption if need be. INT64_MAX: no limit.
   int64_t RoomForGangs(int team, Priority priority) const;
 
-  // Use, limits and reservations of the limited teams, for the log.
+  // The team's use, limit and reservations, for the log.
+  std::string Describe(int team) const;
+  // The same of all limited teams.
   std::string Summary() const;
 
  private:
--- a/src/core/leader/reconciler.cpp
+++ b/src/core/leader/reconciler.cpp
@@ -6,6 +6,13 @@
 #include "core/leader/usage_accounting.h"
 
 namespace badgershore {
+namespace {
+
+// By ReconciliationProof.
+constexpr std::array<const char*, kReconciliationProofs> kProofNames = {"direct call", "heartbeat",
+                                                                        "lease expiry", "removal"};
+
+}  // namespace
 
 void Reconciler::MarkUnreconciled(Machine* machine) {
   machine->reconciled = false;
@@ -13,17 +20,22 @@
   usage_accounting().RefreshUncertainUse(machine);
 }
 
-void Reconciler::MarkReconciled(Micros now, Machine* machine) {
+void Reconciler::MarkReconciled(Micros now, Machine* machine, ReconciliationProof proof) {
   if (machine->reconciled) return;
+  const auto proof_index = static_cast<size_t>(proof);
+  ++reconciled_by_[proof_index];
   machine->reconciled = true;
   usage_accounting().RefreshUncertainUse(machine);
   unreconciled_.erase(std::remove(unreconciled_.begin(), unreconciled_.end(), machine),
                       unreconciled_.end());
-  outbox()->Debug("machine " + machine->id + " reconciled");
-  if (unreconciled_.empty()) {
-    outbox()->Info("all machines reconciled " + std::to_string((now - began()).ToMillis()) +
-                   " ms into the term");
+  outbox()->Debug("machine " + machine->id + " reconciled by " + kProofNames[proof_index]);
+  if (!unreconciled_.empty()) return;
+  std::string line =
+      "all machines reconciled " + std::to_string((now - began()).ToMillis()) + " ms into the term";
+  for (size_t i = 0; i < kReconciliationProofs; ++i) {
+    line += (i == 0 ? ": " : ", ") + std::to_string(reconciled_by_[i]) + " by " + kProofNames[i];
   }
+  outbox()->Info(line);
 }
 
 bool Reconciler::MayStillRun(const Job& job) const {
--- a/src/core/leader/reconciler.h
+++ b/src/core/leader/reconciler.h
@@ -1,6 +1,7 @@
 // Reconciliation of the machines after a failover.
 #pragma once
 
+#include <array>
 #include <vector>
 
 #include "core/leader/leader_component.h"
@@ -9,6 +10,15 @@
 
 namespace badgershore {
 
+// Why the tasks on a machine are known.
+enum class ReconciliationProof {
+  kDirectCall,   // its agent answered a call of this term
+  kHeartbeat,    // its agent sent a heartbeat of this term
+  kLeaseExpiry,  // its agent's lease has expired
+  kRemoval,      // the cloud has removed it
+};
+inline constexpr size_t kReconciliationProofs = 4;
+
 // Tracks the machines on which tasks of earlier leaders may run. A machine is reconciled once its
 // agent has answered this term, its lease has expired, or the cloud has removed it.
 class Reconciler : public LeaderComponent {
@@ -19,7 +29,7 @@
   // The machine is on record, but its tasks are unknown.
   void MarkUnreconciled(Machine* machine);
   // The machine's tasks are known, and no earlier leader can start any.
-  void MarkReconciled(Micros now, Machine* machine);
+  void MarkReconciled(Micros now, Machine* machine, ReconciliationProof proof);
   // Tasks of the job may run on an unreconciled machine, or its cancellation is being recorded.
   // Nothing of such a job may be started.
   bool MayStillRun(const Job& job) const;
@@ -27,7 +37,8 @@
   int ProbeUnreconciled(Micros now);
 
  private:
-  std::vector<Machine*> unreconciled_;  // in the order of loading
+  std::vector<Machine*> unreconciled_;                         // in the order of loading
+  std::array<int, kReconciliationProofs> reconciled_by_ = {};  // machines, by proof
 };
 
 }  // namespace badgershore
--- a/src/core/leader/usage_accounting.cpp
+++ b/src/core/leader/usage_accounting.cpp
@@ -2,6 +2,7 @@
 
 #include "core/leader/job_table.h"
 #include "core/leader/machine_table.h"
+#include "core/leader/quota_log.h"
 
 namespace badgershore {
 
@@ -22,6 +23,7 @@
   machine->RecordImageUse(job->spec.image);
   machine->idle_since = {-1};
   if (job->IsGang()) machine->last_gang_at = now;
+  quota_log().RecordPlacement(*job, task, *machine);
   return allocation;
 }
 
@@ -60,7 +62,7 @@
         team.preemptible[static_cast<size_t>(allocation->preemptible_priority)];
     preemptible = preemptible + need;
   }
-  machine->unknown_tasks += allocation->team < 0;
+  if (allocation->team < 0) AddUnknownTasks(machine, 1);
   RefreshUncertainUse(machine);
 }
 
@@ -75,10 +77,17 @@
         team.preemptible[static_cast<size_t>(allocation->preemptible_priority)];
     preemptible = preemptible - need;
   }
-  machine->unknown_tasks -= allocation->team < 0;
+  if (allocation->team < 0) AddUnknownTasks(machine, -1);
   RefreshUncertainUse(machine);
 }
 
+// A negative number takes tasks away.
+void UsageAccounting::AddUnknownTasks(Machine* machine, int tasks) {
+  machines_with_unknown_tasks_ -= machine->unknown_tasks > 0;
+  machine->unknown_tasks += tasks;
+  machines_with_unknown_tasks_ += machine->unknown_tasks > 0;
+}
+
 void UsageAccounting::RefreshUncertainUse(Machine* machine) {
   const bool uncertain = !machine->reconciled || machine->unknown_tasks > 0;
   const bool unbounded = uncertain && !machine->type;
--- a/src/core/leader/usage_accounting.h
+++ b/src/core/leader/usage_accounting.h
@@ -46,6 +46,8 @@
   // What may be in use beyond the known allocations, by any team: on machines that are not
   // reconciled or that run tasks of unknown jobs. Bounded by the machines' sizes.
   const Resources& uncertain_use() const { return uncertain_use_; }
+  // Machines that run tasks whose job, and so team, is not known.
+  int machines_with_unknown_tasks() const { return machines_with_unknown_tasks_; }
   // Some machine with uncertain use has an unknown type, so uncertain_use() is no bound.
   bool IsUncertainUseUnbounded() const { return unbounded_machines_ > 0; }
 
@@ -81,6 +83,7 @@
   void ReleaseFromJob(Allocation* allocation, const Machine& machine);
   void AddUse(Machine* machine, Allocation* allocation);
   void SubtractUse(Machine* machine, Allocation* allocation);
+  void AddUnknownTasks(Machine* machine, int tasks);
 
   static bool RecountMachine(const Machine& machine, Recount* recount);
   std::string VerifyTeams(const Recount& recount) const;
@@ -89,7 +92,8 @@
   std::vector<TeamUse> teams_;  // by Slot()
   Resources uncertain_use_;
   int unbounded_machines_ = 0;  // uncertain ones of unknown type
-  uint64_t attempts_ = 0;       // in this term
+  int machines_with_unknown_tasks_ = 0;
+  uint64_t attempts_ = 0;  // in this term
 };
 
 }  // namespace badgershore
--- a/src/core/model/types.h
+++ b/src/core/model/types.h
@@ -37,6 +37,14 @@
   }
 };
 
+// The amount in cores: "4", or "0.250" where it is not a whole number.
+inline std::string CoresText(int64_t millicores) {
+  constexpr int64_t kPerCore = 1000;
+  const std::string whole = std::to_string(millicores / kPerCore);
+  const int64_t rest = millicores % kPerCore;
+  return rest == 0 ? whole : whole + "." + std::to_string(kPerCore + rest).substr(1);
+}
+
 enum class JobKind { kArray, kGang, kService };
 enum class Priority { kProduction, kHigh, kNormal, kIdle };
 
--- a/src/core/outbox/key_range_cache.h
+++ b/src/core/outbox/key_range_cache.h
@@ -32,6 +32,8 @@
   // Every change recorded before this moment has been applied: the send time (not the arrival) of
   // the last list or watch whose answer was applied whole. Long ago before the first.
   Micros known_as_of() const { return known_as_of_; }
+  // The state service's revision up to which changes have been applied.
+  uint64_t revision() const { return revision_; }
 
  private:
   void SendNext(Micros now);
