Fix a team over its limit: only confirmed tasks bound uncertain use

What callers saw: team fares-desk had 93 CPUs on machines, its limit is 92 (production, second 82.9 of the records, 5 s after a second takeover).

Cause, a decision on unproven knowledge: a task whose job was cancelled while nobody led belongs to no team that the new term knows, so its whole machine counts against every limited team, less what is known to be there. "Known" included starts that were only reserved or sent. A gang of another team reserved on that machine, which answers direct calls but sends no heartbeats, cut 30 of its 32 CPUs from the uncertain use while the cancelled gang still held them; the limited team then started that much elsewhere.

Change: UsageAccounting keeps apart what the agent has reported as not exited (confirmed_use), and uncertain use is a machine's size less that. An agent refuses a start for which it has no room, so what it reports together does fit together; a reserved start proves nothing.

--- a/src/core/leader/heartbeat_processor.cpp
+++ b/src/core/leader/heartbeat_processor.cpp
@@ -120,6 +120,7 @@
   if (running && allocation->job && allocation->job->IsGang()) {
     NoteGangRunning(now, allocation->job);
   }
+  usage_accounting().MarkConfirmed(machine, allocation);
   usage_accounting().SetPhase(allocation, status.phase);
 }
 
--- a/src/core/leader/usage_accounting.cpp
+++ b/src/core/leader/usage_accounting.cpp
@@ -70,6 +70,9 @@
   if (!std::exchange(allocation->counted, false)) return;
   const Resources& need = allocation->need;
   machine->used = machine->used - need;
+  if (std::exchange(allocation->confirmed, false)) {
+    machine->confirmed_use = machine->confirmed_use - need;
+  }
   TeamUse& team = teams_[Slot(allocation->team)];
   team.used = team.used - need;
   if (allocation->preemptible_priority >= 0) {
@@ -88,11 +91,17 @@
   machines_with_unknown_tasks_ += machine->unknown_tasks > 0;
 }
 
+void UsageAccounting::MarkConfirmed(Machine* machine, Allocation* allocation) {
+  if (!allocation->counted || std::exchange(allocation->confirmed, true)) return;
+  machine->confirmed_use = machine->confirmed_use + allocation->need;
+  RefreshUncertainUse(machine);
+}
+
 void UsageAccounting::RefreshUncertainUse(Machine* machine) {
   const bool uncertain = !machine->reconciled || machine->unknown_tasks > 0;
   const bool unbounded = uncertain && !machine->type;
   const Resources uncertain_use =
-      uncertain && machine->type ? machine->type->size - machine->used : Resources{};
+      uncertain && machine->type ? machine->type->size - machine->confirmed_use : Resources{};
   uncertain_use_ = uncertain_use_ - machine->uncertain_use + uncertain_use;
   machine->uncertain_use = uncertain_use;
   unbounded_machines_ +=
@@ -171,10 +180,12 @@
 // Adds the machine to the recount. False: the machine's own counts differ.
 bool UsageAccounting::RecountMachine(const Machine& machine, Recount* recount) {
   Resources used;
+  Resources confirmed_use;
   int unknown_tasks = 0;
   for (const auto& [key, allocation] : machine.allocations) {
     if (allocation.exited()) continue;
     used = used + allocation.need;
+    if (allocation.confirmed) confirmed_use = confirmed_use + allocation.need;
     unknown_tasks += allocation.team < 0;
     TeamUse& team = recount->teams[Slot(allocation.team)];
     team.used = team.used + allocation.need;
@@ -190,9 +201,10 @@
     ++tasks.by_zone[machine.zone];
   }
   if (machine.type && (!machine.reconciled || unknown_tasks > 0)) {
-    recount->uncertain_use = recount->uncertain_use + (machine.type->size - used);
+    recount->uncertain_use = recount->uncertain_use + (machine.type->size - confirmed_use);
   }
-  return used == machine.used && unknown_tasks == machine.unknown_tasks;
+  return used == machine.used && confirmed_use == machine.confirmed_use &&
+         unknown_tasks == machine.unknown_tasks;
 }
 
 std::string UsageAccounting::VerifyTeams(const Recount& recount) const {
--- a/src/core/leader/usage_accounting.h
+++ b/src/core/leader/usage_accounting.h
@@ -26,6 +26,8 @@
   Allocation* PlaceTask(Micros now, Machine* machine, Job* job, int task, uint64_t attempt);
   // Adds an allocation, replacing one of the same task and attempt. `job` is null if it is over.
   Allocation* AddAllocation(Machine* machine, const TaskRef& ref, uint64_t attempt, Job* job);
+  // The agent lists the allocation among its tasks that have not exited.
+  void MarkConfirmed(Machine* machine, Allocation* allocation);
   // Sets any phase but kExited; see MarkExited().
   void SetPhase(Allocation* allocation, TaskPhase phase);
   void MarkExited(Machine* machine, Allocation* allocation, ExitReason reason);
@@ -44,7 +46,8 @@
     return teams_[Slot(team)].preemptible[priority];
   }
   // What may be in use beyond the known allocations, by any team: on machines that are not
-  // reconciled or that run tasks of unknown jobs. Bounded by the machines' sizes.
+  // reconciled or that run tasks of unknown jobs. Bounded by the machines' sizes, less what the
+  // agents have confirmed: a start that is reserved or sent may find no room there.
   const Resources& uncertain_use() const { return uncertain_use_; }
   // Machines that run tasks whose job, and so team, is not known.
   int machines_with_unknown_tasks() const { return machines_with_unknown_tasks_; }
--- a/src/core/model/fleet.h
+++ b/src/core/model/fleet.h
@@ -24,6 +24,7 @@
   ExitReason exit_reason = ExitReason::kNone;
   bool start_unsent = false;  // reserved; its start goes out with the machine's next check-in
   bool reported = false;      // a report has listed it
+  bool confirmed = false;     // reported while on the machine, and has not exited
   uint64_t sent_epoch = 0, sent_sequence = 0;  // of the report whose answer carried the start
   bool stop_requested = false;
   Micros grace_period;
@@ -107,9 +108,10 @@
   Micros failing_since;
   std::deque<std::string> images;  // most recent last
 
-  // Kept by UsageAccounting: what has not exited, how many of jobs that are not known, and what
-  // else may be on it.
+  // Kept by UsageAccounting: what has not exited, the part of it that the agent has reported, how
+  // many of jobs that are not known, and what else may be on it.
   Resources used;
+  Resources confirmed_use;
   int unknown_tasks = 0;
   Resources uncertain_use;
   bool uncertain_use_unbounded = false;
