A report that precedes this term no longer bounds uncertain use

An agent whose epoch has moved on answers the first probe of a term with 409 and a report, and stays unreconciled until it accepts the next. What it listed was taken from the room that unknown tasks may use there, though a start of the earlier leader may still arrive and take the room of what ends meanwhile. An unreconciled machine now counts with its whole size.

UncertainUse() serves the kept count and the recount, which had the formula each.

--- a/src/core/leader/usage_accounting.cpp
+++ b/src/core/leader/usage_accounting.cpp
@@ -5,6 +5,18 @@
 #include "core/leader/quota_log.h"
 
 namespace badgershore {
+namespace {
+
+// What may run on the machine beyond its known allocations, of which the agent has confirmed
+// `confirmed_use`. Empty for an unknown type.
+Resources UncertainUse(const Machine& machine, const Resources& confirmed_use, int unknown_tasks) {
+  if (!machine.type) return {};
+  // Starts of an earlier leader may still arrive and take the room of what ends meanwhile.
+  if (!machine.reconciled) return machine.type->size;
+  return unknown_tasks > 0 ? machine.type->size - confirmed_use : Resources{};
+}
+
+}  // namespace
 
 UsageAccounting::UsageAccounting(const LeaderContext* context)
     : LeaderComponent(context), teams_(settings().teams.size() + 1) {}
@@ -98,10 +110,9 @@
 }
 
 void UsageAccounting::RefreshUncertainUse(Machine* machine) {
-  const bool uncertain = !machine->reconciled || machine->unknown_tasks > 0;
-  const bool unbounded = uncertain && !machine->type;
+  const bool unbounded = !machine->type && (!machine->reconciled || machine->unknown_tasks > 0);
   const Resources uncertain_use =
-      uncertain && machine->type ? machine->type->size - machine->confirmed_use : Resources{};
+      UncertainUse(*machine, machine->confirmed_use, machine->unknown_tasks);
   uncertain_use_ = uncertain_use_ - machine->uncertain_use + uncertain_use;
   machine->uncertain_use = uncertain_use;
   unbounded_machines_ +=
@@ -200,9 +211,8 @@
     tasks.running += allocation.phase == TaskPhase::kRunning;
     ++tasks.by_zone[machine.zone];
   }
-  if (machine.type && (!machine.reconciled || unknown_tasks > 0)) {
-    recount->uncertain_use = recount->uncertain_use + (machine.type->size - confirmed_use);
-  }
+  recount->uncertain_use =
+      recount->uncertain_use + UncertainUse(machine, confirmed_use, unknown_tasks);
   return used == machine.used && confirmed_use == machine.confirmed_use &&
          unknown_tasks == machine.unknown_tasks;
 }
--- a/src/core/leader/usage_accounting.h
+++ b/src/core/leader/usage_accounting.h
@@ -46,8 +46,9 @@
     return teams_[Slot(team)].preemptible[priority];
   }
   // What may be in use beyond the known allocations, by any team: on machines that are not
-  // reconciled or that run tasks of unknown jobs. Bounded by the machines' sizes, less what the
-  // agents have confirmed: a start that is reserved or sent may find no room there.
+  // reconciled or that run tasks of unknown jobs. Bounded by the machines' sizes, on reconciled
+  // ones less what the agents have confirmed: a start that is reserved or sent may find no room
+  // there.
   const Resources& uncertain_use() const { return uncertain_use_; }
   // Machines that run tasks whose job, and so team, is not known.
   int machines_with_unknown_tasks() const { return machines_with_unknown_tasks_; }
