Rehearsal: a team between two tasks at its limit leaves no job waiting

Cause, in the check: every 5 s it compared the team's CPUs on machines at that instant with its limit. A team whose tasks are short falls below its limit whenever one ends, until its machine's next heartbeat brings the next; so a queue that waits its turn looked neglected.

The rule speaks of a team under its limit, so the case is allowed.

A job that waits while its team stays below is found as before (NeglectedJob tests).

--- a/src/rehearsal/checker.cpp
+++ b/src/rehearsal/checker.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cstdio>
+#include <utility>
 
 #include "rehearsal/history.h"
 
@@ -61,6 +62,7 @@
   auto& used = used_[f.team];
   used.first += f.cpu_m;
   used.second += f.gpu_m;
+  peak_cpu_[f.team] = std::max(peak_cpu_[f.team], used.first);
   const auto limit = bounds_.limits.find(f.team);
   if (limit != bounds_.limits.end() &&
       ((limit->second.first > 0 && used.first > limit->second.first) ||
@@ -69,6 +71,12 @@
   }
 }
 
+std::map<std::string, int64_t> Checker::TakePeakCpu() {
+  std::map<std::string, int64_t> now;
+  for (const auto& [team, used] : used_) now[team] = used.first;
+  return std::exchange(peak_cpu_, std::move(now));
+}
+
 void Checker::CheckCancelled(int64_t at_us) {
   for (const std::string& id : withdrawn_) {
     Job& job = jobs_[id];
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -92,6 +92,16 @@
   Task(Kind::kTaskOn, "j", 3, "m1");
   EXPECT_EQ(Found(), "quota");
 }
+TEST_F(CheckerTest, KeepsATeamsPeakUseSinceTheLastLook) {
+  Machine("m1", "a").Job("j");
+  Task(Kind::kTaskOn, "j", 0, "m1").Task(Kind::kTaskOn, "j", 1, "m1");
+  Task(Kind::kTaskOff, "j", 0, "m1");
+  EXPECT_EQ(checker.TakePeakCpu()["t"], 2000);
+  EXPECT_EQ(checker.TakePeakCpu()["t"], 1000);
+  Task(Kind::kTaskOff, "j", 1, "m1");
+  EXPECT_EQ(checker.TakePeakCpu()["t"], 1000);
+  EXPECT_EQ(checker.TakePeakCpu()["t"], 0);
+}
 TEST_F(CheckerTest, ReportsAPlacementTheJobDoesNotAllow) {
   JobFacts same, spread, zone;
   same.same_zone = spread.spread = true;
--- a/tests/kept_scenario_test.cpp
+++ b/tests/kept_scenario_test.cpp
@@ -106,6 +106,15 @@
   EXPECT_FALSE(config::SmallSite().types.empty());
 }
 
+TEST(Scenario, JobsThatWaitTheirTurnAtTheirTeamsLimitAreNotReportedAsLeft) {
+  constexpr uint64_t kSeedWithALongQueueAtTheLimit = 7038;
+  const config::Scenario scenario =
+      config::LoadScenario(std::string(BADGERSHORE_SCENARIOS) + "/limits-hang-and-cut.yaml");
+  for (const Broken& b : rehearsal::Play(scenario, kSeedWithALongQueueAtTheLimit).broken) {
+    ADD_FAILURE() << b.rule << " " << b.detail;
+  }
+}
+
 // Guards against: chance from anywhere but the seed (an address, a clock, the order of a hash).
 // The kept hash holds for every build type; a change of the history by design changes it.
 TEST(Scenario, TheSameSeedGivesTheSameHistory) {
