One TaskKey for an attempt at a task, in place of a pair and a second struct

Machine::allocations and the listed tasks of a heartbeat were keyed by a pair of task and attempt, the agent had a struct of the same shape. TaskKey moves from the agent to core/model/effects.h and serves all three.

--- a/src/agent/core/agent.h
+++ b/src/agent/core/agent.h
@@ -22,12 +22,6 @@
   Micros report_every, lease, gang_wait;
 };
 
-struct TaskKey {
-  TaskRef ref;
-  uint64_t attempt = 0;
-  auto operator<=>(const TaskKey&) const = default;
-};
-
 // What the machine is to do. Everything is done in order.
 struct Action {
   enum class Kind {
--- a/src/core/leader/heartbeat_processor.cpp
+++ b/src/core/leader/heartbeat_processor.cpp
@@ -33,7 +33,7 @@
   if (heartbeat.preemption_notice && !machine->preemption_at) {
     RecordPreemptionNotice(now, machine, *heartbeat.preemption_notice);
   }
-  std::set<AllocationKey> listed;
+  std::set<TaskKey> listed;
   for (const TaskStatus& status : heartbeat.tasks) {
     listed.insert({status.ref, status.attempt});
     ProcessTask(now, machine, status);
@@ -200,8 +200,7 @@
 }
 
 void HeartbeatProcessor::RemoveUnlisted(Micros now, Machine* machine, const Heartbeat& heartbeat,
-                                        HeartbeatSource source,
-                                        const std::set<AllocationKey>& listed) {
+                                        HeartbeatSource source, const std::set<TaskKey>& listed) {
   for (auto it = machine->allocations.begin(); it != machine->allocations.end();) {
     Allocation& allocation = it->second;
     // If the agent's next heartbeat does not list a start, it did not receive it and never will: it
--- a/src/core/leader/heartbeat_processor.h
+++ b/src/core/leader/heartbeat_processor.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <set>
-#include <utility>
 
 #include "core/leader/leader_component.h"
 #include "core/model/fleet.h"
@@ -25,8 +24,6 @@
   bool Process(Micros now, Machine* machine, const Heartbeat& heartbeat, HeartbeatSource source);
 
  private:
-  using AllocationKey = std::pair<TaskRef, uint64_t>;  // with the attempt, as in Machine
-
   void EndAgentEpoch(Micros now, Machine* machine);
   void RecordContact(Micros now, Machine* machine, const Heartbeat& heartbeat,
                      HeartbeatSource source);
@@ -40,7 +37,7 @@
   void OnTaskExited(Micros now, Machine* machine, Allocation* allocation, ExitReason reason);
   Micros OnTaskFailed(Micros now, Machine* machine, Job* job, int task);
   void RemoveUnlisted(Micros now, Machine* machine, const Heartbeat& heartbeat,
-                      HeartbeatSource source, const std::set<AllocationKey>& listed);
+                      HeartbeatSource source, const std::set<TaskKey>& listed);
   void UpdateIdleSince(Micros now, Machine* machine) const;
 };
 
--- a/src/core/leader/usage_accounting.h
+++ b/src/core/leader/usage_accounting.h
@@ -20,7 +20,7 @@
 class UsageAccounting : public LeaderComponent {
  public:
   explicit UsageAccounting(const LeaderContext* context);
-  using Allocations = std::map<std::pair<TaskRef, uint64_t>, Allocation>;
+  using Allocations = std::map<TaskKey, Allocation>;
 
   // Places a waiting or queued task on the machine.
   Allocation* PlaceTask(Micros now, Machine* machine, Job* job, int task, uint64_t attempt);
--- a/src/core/model/effects.h
+++ b/src/core/model/effects.h
@@ -88,6 +88,12 @@
   int task = 0;
   auto operator<=>(const TaskRef&) const = default;
 };
+// One attempt at a task.
+struct TaskKey {
+  TaskRef ref;
+  uint64_t attempt = 0;
+  auto operator<=>(const TaskKey&) const = default;
+};
 enum class TaskPhase {
   kStartSent,
   kFetchingImage,
--- a/src/core/model/fleet.h
+++ b/src/core/model/fleet.h
@@ -85,7 +85,7 @@
   Micros missing_since{-1};
   std::optional<Micros> preemption_at;  // spot notice, as a time
 
-  std::map<std::pair<TaskRef, uint64_t>, Allocation> allocations;
+  std::map<TaskKey, Allocation> allocations;
   std::map<QueueKey, QueueEntry> queue;
   std::vector<double> dispatched_work;  // received so far, by bucket
   Micros last_gang_at;                  // when a gang was last on it
--- a/src/rehearsal/work.h
+++ b/src/rehearsal/work.h
@@ -15,7 +15,6 @@
 
 using config::Scenario;
 
-using agent::TaskKey;
 
 class Work {
  public:
