PerTeam holds a value for each team and the unknown one, in place of three Slot()

QuotaChecker, QuotaReservations and UsageAccounting each mapped a team's number to a vector index by their own Slot(); the recount of uses and the construction of quotas did it by hand.

--- a/src/core/leader/quota_checker.cpp
+++ b/src/core/leader/quota_checker.cpp
@@ -6,12 +6,13 @@
 namespace badgershore {
 
 QuotaChecker::QuotaChecker(const LeaderContext* context)
-    : LeaderComponent(context), quotas_(settings().teams.size() + 1) {
-  for (size_t i = 0; i < settings().teams.size(); ++i) {
-    const Resources& limit = settings().teams[i].limit;
-    quotas_[i + 1].limit = {limit.cpu > 0 ? limit.cpu : limits::kUnlimited,
-                            limit.gpu > 0 ? limit.gpu : limits::kUnlimited, 0};
-    quotas_[i + 1].guarantee = settings().teams[i].guarantee;
+    : LeaderComponent(context), quotas_(settings().teams.size()) {
+  for (int i = 0; i < quotas_.known_teams(); ++i) {
+    const Team& team = settings().teams[static_cast<size_t>(i)];
+    const Resources& limit = team.limit;
+    quotas_[i].limit = {limit.cpu > 0 ? limit.cpu : limits::kUnlimited,
+                        limit.gpu > 0 ? limit.gpu : limits::kUnlimited, 0};
+    quotas_[i].guarantee = team.guarantee;
   }
 }
 
@@ -23,7 +24,7 @@
 }
 
 void QuotaChecker::SetQuota(int team, const Resources& limit, const Resources& guarantee) {
-  quotas_[Slot(team)] = {limit, guarantee};
+  quotas_[team] = {limit, guarantee};
 }
 
 Resources QuotaChecker::UseWith(const Job& job, int tasks) const {
--- a/src/core/leader/quota_checker.h
+++ b/src/core/leader/quota_checker.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include <string>
-#include <vector>
 
 #include "core/leader/leader_component.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
+#include "core/model/per_team.h"
 
 namespace badgershore {
 
@@ -22,8 +22,8 @@
   // Replaces the team's quota: the settings' values, or this cell's share of them.
   // limits::kUnlimited: no limit.
   void SetQuota(int team, const Resources& limit, const Resources& guarantee);
-  const Resources& Limit(int team) const { return quotas_[Slot(team)].limit; }
-  const Resources& Guarantee(int team) const { return quotas_[Slot(team)].guarantee; }
+  const Resources& Limit(int team) const { return quotas_[team].limit; }
+  const Resources& Guarantee(int team) const { return quotas_[team].guarantee; }
   bool IsLimited(int team) const {
     return team >= 0 &&
            (Limit(team).cpu < limits::kUnlimited || Limit(team).gpu < limits::kUnlimited);
@@ -49,11 +49,9 @@
   struct Quota {
     Resources limit, guarantee;
   };
-  // Teams are numbered from -1, which is an unknown team.
-  static size_t Slot(int team) { return static_cast<size_t>(team + 1); }
   Resources UseWith(const Job& job, int tasks) const;
 
-  std::vector<Quota> quotas_;  // by Slot()
+  PerTeam<Quota> quotas_;
 };
 
 }  // namespace badgershore
--- a/src/core/leader/quota_reservations.cpp
+++ b/src/core/leader/quota_reservations.cpp
@@ -5,11 +5,11 @@
 namespace badgershore {
 
 QuotaReservations::QuotaReservations(const LeaderContext* context)
-    : LeaderComponent(context), teams_(settings().teams.size() + 1) {}
+    : LeaderComponent(context), teams_(settings().teams.size()) {}
 
 void QuotaReservations::Reserve(const Job& gang, int members) {
   if (!quota_checker().IsLimited(gang.team)) return;
-  TeamReservations& team = teams_[Slot(gang.team)];
+  TeamReservations& team = teams_[gang.team];
   const auto priority = static_cast<size_t>(gang.spec.priority);
   const Resources need = gang.spec.need.Times(members);
   if (team.total[priority] == Resources{}) team.first[priority] = need;
@@ -22,12 +22,12 @@
 
 Resources QuotaReservations::Reserved(int team) const {
   Resources reserved;
-  for (const Resources& total : teams_[Slot(team)].total) reserved = reserved + total;
+  for (const Resources& total : teams_[team].total) reserved = reserved + total;
   return reserved;
 }
 
 Resources QuotaReservations::ReservedBefore(const Job& job) const {
-  const TeamReservations& team = teams_[Slot(job.team)];
+  const TeamReservations& team = teams_[job.team];
   const auto own = static_cast<size_t>(job.spec.priority);
   Resources reserved;
   // A starved job may use what gangs of higher priority can't use yet, or it would lie idle. Its
--- a/src/core/leader/quota_reservations.h
+++ b/src/core/leader/quota_reservations.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include <array>
-#include <vector>
 
 #include "core/leader/leader_component.h"
 #include "core/leader/usage_accounting.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
+#include "core/model/per_team.h"
 
 namespace badgershore {
 
@@ -32,10 +32,8 @@
     std::array<Resources, kPriorityCount> total;  // by the gangs' priority
     std::array<Resources, kPriorityCount> first;  // the first reservation of each priority
   };
-  // Teams are numbered from -1, which is an unknown team.
-  static size_t Slot(int team) { return static_cast<size_t>(team + 1); }
 
-  std::vector<TeamReservations> teams_;  // by Slot()
+  PerTeam<TeamReservations> teams_;
 };
 
 }  // namespace badgershore
--- a/src/core/leader/usage_accounting.cpp
+++ b/src/core/leader/usage_accounting.cpp
@@ -19,7 +19,7 @@
 }  // namespace
 
 UsageAccounting::UsageAccounting(const LeaderContext* context)
-    : LeaderComponent(context), teams_(settings().teams.size() + 1) {}
+    : LeaderComponent(context), teams_(settings().teams.size()) {}
 
 Allocation* UsageAccounting::PlaceTask(Micros now, Machine* machine, Job* job, int task,
                                        uint64_t attempt) {
@@ -67,7 +67,7 @@
   allocation->counted = true;
   const Resources& need = allocation->need;
   machine->used = machine->used + need;
-  TeamUse& team = teams_[Slot(allocation->team)];
+  TeamUse& team = teams_[allocation->team];
   team.used = team.used + need;
   if (allocation->preemptible_priority >= 0) {
     Resources& preemptible =
@@ -85,7 +85,7 @@
   if (std::exchange(allocation->confirmed, false)) {
     machine->confirmed_use = machine->confirmed_use - need;
   }
-  TeamUse& team = teams_[Slot(allocation->team)];
+  TeamUse& team = teams_[allocation->team];
   team.used = team.used - need;
   if (allocation->preemptible_priority >= 0) {
     Resources& preemptible =
@@ -178,8 +178,7 @@
 }
 
 std::string UsageAccounting::VerifyCounts() const {
-  Recount recount;
-  recount.teams.resize(teams_.size());
+  Recount recount(settings().teams.size());
   for (const auto& [id, machine] : machine_table().machines()) {
     if (!RecountMachine(*machine, &recount)) return "use of machine " + id;
   }
@@ -198,7 +197,7 @@
     used = used + allocation.need;
     if (allocation.confirmed) confirmed_use = confirmed_use + allocation.need;
     unknown_tasks += allocation.team < 0;
-    TeamUse& team = recount->teams[Slot(allocation.team)];
+    TeamUse& team = recount->teams[allocation.team];
     team.used = team.used + allocation.need;
     if (allocation.preemptible_priority >= 0) {
       Resources& preemptible =
@@ -218,11 +217,13 @@
 }
 
 std::string UsageAccounting::VerifyTeams(const Recount& recount) const {
-  for (size_t i = 0; i < teams_.size(); ++i) {
-    const TeamUse& counted = recount.teams[i];
-    if (counted.used == teams_[i].used && counted.preemptible == teams_[i].preemptible) continue;
-    return "use of " + (i == 0 ? std::string("no team") : "team " + settings().teams[i - 1].name) +
-           ": " + std::to_string(teams_[i].used.cpu) + " kept, " +
+  for (int team = -1; team < teams_.known_teams(); ++team) {
+    const TeamUse& counted = recount.teams[team];
+    const TeamUse& kept = teams_[team];
+    if (counted.used == kept.used && counted.preemptible == kept.preemptible) continue;
+    const std::string name =
+        team < 0 ? "no team" : "team " + settings().teams[static_cast<size_t>(team)].name;
+    return "use of " + name + ": " + std::to_string(kept.used.cpu) + " kept, " +
            std::to_string(counted.used.cpu) + " counted (millicores)";
   }
   return "";
--- a/src/core/leader/usage_accounting.h
+++ b/src/core/leader/usage_accounting.h
@@ -4,11 +4,11 @@
 #include <array>
 #include <map>
 #include <string>
-#include <vector>
 
 #include "core/leader/leader_component.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
+#include "core/model/per_team.h"
 
 namespace badgershore {
 
@@ -40,10 +40,10 @@
   void RefreshUncertainUse(Machine* machine);
 
   // What the team's allocations use; -1: those of no known team.
-  const Resources& Used(int team) const { return teams_[Slot(team)].used; }
+  const Resources& Used(int team) const { return teams_[team].used; }
   // The part of Used() that gangs of a higher priority may preempt.
   const Resources& PreemptibleUse(int team, size_t priority) const {
-    return teams_[Slot(team)].preemptible[priority];
+    return teams_[team].preemptible[priority];
   }
   // What may be in use beyond the known allocations, by any team: on machines that are not
   // reconciled or that run tasks of unknown jobs. Bounded by the machines' sizes, on reconciled
@@ -76,13 +76,12 @@
     std::map<std::string, int> by_zone;
   };
   struct Recount {
-    std::vector<TeamUse> teams;  // as teams_
+    explicit Recount(size_t known_teams) : teams(known_teams) {}
+    PerTeam<TeamUse> teams;
     std::map<const Job*, JobTasks> jobs;
     Resources uncertain_use;
   };
 
-  // Teams are numbered from -1, which is an unknown team.
-  static size_t Slot(int team) { return static_cast<size_t>(team + 1); }
   // Takes an allocation that ends out of its job's counts.
   void ReleaseFromJob(Allocation* allocation, const Machine& machine);
   void AddUse(Machine* machine, Allocation* allocation);
@@ -93,7 +92,7 @@
   std::string VerifyTeams(const Recount& recount) const;
   std::string VerifyJobs(Recount* recount) const;
 
-  std::vector<TeamUse> teams_;  // by Slot()
+  PerTeam<TeamUse> teams_;
   Resources uncertain_use_;
   int unbounded_machines_ = 0;  // uncertain ones of unknown type
   int machines_with_unknown_tasks_ = 0;
