--- a/src/rehearsal/work.h
+++ b/src/rehearsal/work.h
@@ -15,7 +15,6 @@
 
 using config::Scenario;
 
-
 class Work {
  public:
   struct Hooks {
