The engine alone recovers from a failed write; the library's recovery is off

Cause: two parties recovered. RocksDB resumes from "no space" on a thread of its own, which begins a new log and then a table; the engine reopens the database. Where the library's attempt had begun a log and failed, the torn log was not the newest, which the check on logs takes for damage.

Why this works: a listener refuses the library's recovery, and errors that it would retry get no attempts, so nobody but the engine writes after a failure.

--- a/src/store/disk/database_options.cpp
+++ b/src/store/disk/database_options.cpp
@@ -1,6 +1,7 @@
 #include "store/disk/database_options.h"
 
 #include <rocksdb/cache.h>
+#include <rocksdb/listener.h>
 #include <rocksdb/memtablerep.h>
 #include <rocksdb/table.h>
 
@@ -16,6 +17,17 @@
 constexpr int kBackgroundJobs = 2;
 constexpr size_t kKeptInfoLogs = 3;
 constexpr uint32_t kTableFormatVersion = 5;
+constexpr int kNoResumeAttempts = 0;
+
+// Keeps the library from recovering from a failed write on a thread of its own, which begins a new
+// log beside the torn one while the engine closes and reopens the database.
+class NoAutomaticRecovery : public rocksdb::EventListener {
+ public:
+  void OnErrorRecoveryBegin(rocksdb::BackgroundErrorReason /*reason*/, rocksdb::Status /*error*/,
+                            bool* auto_recovery) override {
+    *auto_recovery = false;
+  }
+};
 
 }  // namespace
 
@@ -28,6 +40,9 @@
   options.wal_recovery_mode = writable ? rocksdb::WALRecoveryMode::kAbsoluteConsistency
                                        : rocksdb::WALRecoveryMode::kTolerateCorruptedTailRecords;
   options.track_and_verify_wals_in_manifest = writable;
+  // After a failed write the engine reopens the database, and nobody else recovers.
+  options.listeners.push_back(std::make_shared<NoAutomaticRecovery>());
+  options.max_bgerror_resume_count = kNoResumeAttempts;
   options.max_background_jobs = kBackgroundJobs;
   options.write_buffer_size = kWriteBufferBytes;
   // Nothing is read while it serves: new rows are kept in the order of their arrival, and sorted
--- /dev/null
+++ b/tests/store_disk_failure_test.cpp
@@ -0,0 +1,157 @@
+// The state service's disk while it fails: who recovers, what is there afterwards, what is retried.
+#include <gtest/gtest.h>
+#include <rocksdb/db.h>
+#include <rocksdb/env.h>
+#include <rocksdb/listener.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <future>
+
+#include "fault_file_system.h"
+#include "store/disk/database_options.h"
+#include "store/disk/engine.h"
+#include "store/disk/rows.h"
+
+namespace badgershore::store {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr auto kRecoveryDeadline = std::chrono::seconds(30);
+
+// Sees the storage library recover from a failed write on a thread of its own.
+class RecoveryObserver : public rocksdb::EventListener {
+ public:
+  void OnErrorRecoveryBegin(rocksdb::BackgroundErrorReason /*reason*/, rocksdb::Status /*error*/,
+                            bool* auto_recovery) override {
+    if (*auto_recovery) begun_ = true;
+  }
+  void OnLogCreated() {
+    if (!created_.exchange(true)) log_created_.set_value();
+  }
+  bool begun() const { return begun_; }
+  bool WaitForNewerLog() { return Wait(&log_created_); }
+
+ private:
+  static bool Wait(std::promise<void>* event) {
+    return event->get_future().wait_for(kRecoveryDeadline) == std::future_status::ready;
+  }
+
+  std::atomic<bool> begun_ = false, created_ = false;
+  std::promise<void> log_created_;
+};
+
+Batch NumberedBatch(uint64_t number, size_t value_bytes = 300) {
+  Batch batch;
+  batch.id = batch.revision = number;
+  const std::string key = "k" + std::to_string(number % 7);
+  const std::string value = "\"" + std::string(value_bytes, 'v') + std::to_string(number) + "\"";
+  batch.items[key] = VersionedValue{value, number, 0};
+  batch.change_log.push_back({number, key, value});
+  return batch;
+}
+
+StateImage ImageAfter(uint64_t last, size_t value_bytes = 300) {
+  StateImage image;
+  for (uint64_t number = 1; number <= last; ++number) {
+    Apply(NumberedBatch(number, value_bytes), &image);
+  }
+  return image;
+}
+
+bool IsLog(const std::string& path) { return path.ends_with(".log"); }
+
+class FailingDisk : public testing::Test {
+ protected:
+  FailingDisk() {
+    char name[] = "/tmp/badgershore-failing-disk-XXXXXX";
+    root_ = mkdtemp(name);
+    dir_ = root_ + "/state";
+    env_ = rocksdb::NewCompositeEnv(std::make_shared<FaultyFileSystem>(&plan_));
+    options_.reserve_bytes = 0;
+    options_.env = env_.get();
+  }
+  ~FailingDisk() override { fs::remove_all(root_); }
+
+  void WriteBatches(uint64_t first, uint64_t last) {
+    Engine engine(dir_, Engine::OpenMode::kReadWrite, options_);
+    for (uint64_t number = first; number <= last; ++number) {
+      ASSERT_EQ(engine.Write(NumberedBatch(number)), WriteOutcome::kDurable);
+    }
+  }
+  std::vector<std::string> Logs() const {
+    std::vector<std::string> logs;
+    for (const auto& file : fs::directory_iterator(dir_)) {
+      if (IsLog(file.path())) logs.push_back(file.path());
+    }
+    std::sort(logs.begin(), logs.end());
+    return logs;
+  }
+  // Writes an owner's note through the library itself, fails the append of a second one, and lets
+  // the library begin a newer log where it recovers by itself, which fails at the table's append.
+  void FailAnAppend(const rocksdb::Options& as, DiskFault fault) {
+    rocksdb::Options options = as;
+    const auto observer = std::make_shared<RecoveryObserver>();
+    options.listeners.push_back(observer);
+    const auto appends = [&](DiskOperation operation, const std::string& path) {
+      if (operation == DiskOperation::kCreate && IsLog(path)) observer->OnLogCreated();
+      return operation == DiskOperation::kAppend;
+    };
+    WriteNoteAndFailNext(options, fault, appends);
+    recovery_begun_ = observer->begun();
+    if (recovery_begun_) {
+      ASSERT_TRUE(observer->WaitForNewerLog());
+    }
+    CloseDatabase();
+  }
+  void WriteNoteAndFailNext(const rocksdb::Options& options, DiskFault fault,
+                            FaultPlan::Condition which) {
+    rocksdb::DB* database = nullptr;
+    ASSERT_TRUE(rocksdb::DB::Open(options, dir_, &database).ok());
+    database_.reset(database);
+    rocksdb::WriteOptions sync;
+    sync.sync = true;
+    ASSERT_TRUE(database_->Put(sync, kOwnerMetadataKey, "note").ok());
+    plan_.Fail(fault, 1, 1000, std::move(which));
+    EXPECT_FALSE(database_->Put(sync, kOwnerMetadataKey, std::string(500, 'x')).ok());
+  }
+  void CloseDatabase() {
+    database_.reset();
+    plan_.Heal();
+  }
+  rocksdb::Options ServiceOptions() const {
+    return DatabaseOptions(DatabaseAccess::kReadWrite, env_.get());
+  }
+  void ExpectTheFirstFiveAndTheNote() {
+    Engine engine(dir_, Engine::OpenMode::kReadWrite, options_);
+    EXPECT_EQ(engine.Load(), ImageAfter(5));
+    EXPECT_EQ(engine.LoadOwnerMetadata(), "note");
+  }
+
+  std::string root_, dir_;
+  FaultPlan plan_;
+  std::unique_ptr<rocksdb::Env> env_;
+  std::unique_ptr<rocksdb::DB> database_;
+  bool recovery_begun_ = false;
+  EngineOptions options_;
+};
+
+// Guards against: the library beginning a newer log beside the torn one while the engine reopens,
+// after which the directory never opened again.
+TEST_F(FailingDisk, TheLibraryRecoversFromNoFailedWriteByItself) {
+  for (const DiskFault fault :
+       {DiskFault::kNoSpace, DiskFault::kRetryableIoError, DiskFault::kIoError}) {
+    fs::remove_all(dir_);
+    WriteBatches(1, 5);
+    FailAnAppend(ServiceOptions(), fault);
+    EXPECT_FALSE(recovery_begun_);
+    EXPECT_EQ(Logs().size(), 1u);
+    ExpectTheFirstFiveAndTheNote();
+  }
+}
+
+}  // namespace
+}  // namespace badgershore::store
