A flipped bit in the last record's length is damage, not a torn end

What callers would see: the last acknowledged write gone after a restart, with "a torn end of N bytes was cut", where one bit of its length had changed on the disk. docs/state-service.md named it as the one case that can't be told apart.

Cause: a record that seems to reach past the end of its log counted as torn whatever its checksum says.

Now such a record is tried at every length that differs from the written one in one byte, with its own checksum; where one fits it is damaged, and refused with file and byte. A record that was really cut short fits by chance in about one of eight million cases.

--- a/src/store/disk/log_check.cpp
+++ b/src/store/disk/log_check.cpp
@@ -16,13 +16,19 @@
   return v;
 }
 
-uint32_t Masked(const char* data, size_t n) {
-  boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true> crc;  // CRC-32C
-  crc.process_bytes(data, n);
+using Crc32c = boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true>;
+
+uint32_t Masked(const Crc32c& crc) {
   const uint32_t c = crc.checksum();
   return ((c >> 15) | (c << 17)) + 0xa282ead8U;
 }
 
+uint32_t Masked(const char* data, size_t n) {
+  Crc32c crc;
+  crc.process_bytes(data, n);
+  return Masked(crc);
+}
+
 struct Fragment {
   enum class State { kGood, kPadding, kPastEnd, kBad } state = State::kBad;
   unsigned char type = 0;
@@ -63,6 +69,26 @@
   return end > from && bytes[end - 1] == '\0' && bytes[end - 2] == '\0';
 }
 
+bool DifferInOneByte(size_t a, size_t b) {
+  const size_t bits = a ^ b;
+  return bits != 0 && ((bits & 0xff) == 0 || (bits >> 8) == 0);
+}
+
+// Whether the fragment at `at`, which seems to reach past the end, is whole but for one byte of its
+// length: then it is damaged and not torn.
+bool IsWholeAtAnotherLength(const std::string& bytes, size_t at, size_t size) {
+  if (at + kHeader > bytes.size()) return false;
+  const char* header = bytes.data() + at;
+  const uint32_t expected = Fixed32(header);
+  Crc32c crc;
+  crc.process_byte(static_cast<unsigned char>(header[6]));
+  for (size_t length = 0; at + kHeader + length <= bytes.size(); ++length) {
+    if (length > 0) crc.process_byte(static_cast<unsigned char>(header[kHeader + length - 1]));
+    if (DifferInOneByte(length, size - kHeader) && Masked(crc) == expected) return true;
+  }
+  return false;
+}
+
 bool AnyGoodAfter(const std::string& bytes, size_t from) {
   for (size_t at = from; at + kHeader < bytes.size(); ++at) {
     if (at % kBlock + kHeader > kBlock) continue;
@@ -97,7 +123,10 @@
     if (f.state == Fragment::State::kPadding) {
       return AllZero(bytes, at) ? bad(at, true) : bad(at, false);
     }
-    if (f.state == Fragment::State::kPastEnd) return bad(at, true);
+    if (f.state == Fragment::State::kPastEnd) {
+      out.ends_in_record = true;
+      return bad(at, !IsWholeAtAnotherLength(bytes, at, f.size));
+    }
     if (f.state == Fragment::State::kBad) return bad(at, EndsInZeros(bytes, at, f.size));
     const bool continues = f.type == kMiddle || f.type == kLast;
     if (continues != open) return bad(at, false);
@@ -105,8 +134,9 @@
     at += f.size;
     if (!open) out.good_bytes = at;
   }
-  if (open) return bad(out.good_bytes, true);
-  return out;
+  if (!open) return out;
+  out.ends_in_record = true;
+  return bad(out.good_bytes, true);
 }
 
 }  // namespace badgershore::store
--- a/src/store/disk/log_check.h
+++ b/src/store/disk/log_check.h
@@ -4,7 +4,8 @@
 // it, with all that follows in its block: a flipped bit in a length would lose answered commits
 // silently. So each log is walked first, by the published format of RocksDB's write-ahead log
 // (blocks of 32 KiB; records of checksum, length, type and payload; wiki page "Write Ahead Log
-// File Format"), and a bad place counts as a torn end only where nothing whole comes after it.
+// File Format"), and a bad place counts as a torn end only where nothing whole comes after it and
+// no change of one byte of its length makes it whole.
 #pragma once
 
 #include <cstdint>
@@ -16,6 +17,8 @@
   enum class State { kWhole, kTorn, kDamaged } state = State::kWhole;
   uint64_t good_bytes = 0;  // up to here the records are whole
   uint64_t bad_at = 0;      // kTorn, kDamaged: where the first bad one begins
+  // kTorn: the log ends within a record, as a failed append leaves it; else its end reads as zeros.
+  bool ends_in_record = false;
 };
 
 LogCheck CheckLog(const std::string& bytes);
--- a/tests/store_disk_failure_test.cpp
+++ b/tests/store_disk_failure_test.cpp
@@ -13,6 +13,7 @@
 #include "fault_file_system.h"
 #include "store/disk/database_options.h"
 #include "store/disk/engine.h"
+#include "store/disk/log_check.h"
 #include "store/disk/rows.h"
 
 namespace badgershore::store {
@@ -62,6 +63,11 @@
   return image;
 }
 
+std::string ReadBytes(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
 bool IsLog(const std::string& path) { return path.ends_with(".log"); }
 
 class FailingDisk : public testing::Test {
@@ -153,5 +159,20 @@
   }
 }
 
+// Guards against: the last acknowledged write cut off as a torn end for one bit in its length.
+TEST_F(FailingDisk, AFlippedBitInTheLengthOfTheLastRecordIsDamage) {
+  WriteBatches(1, 5);
+  ASSERT_EQ(Logs().size(), 1u);
+  const std::string bytes = ReadBytes(Logs()[0]);
+  const size_t last_record = CheckLog(bytes.substr(0, bytes.size() - 1)).good_bytes;
+  constexpr size_t kLengthOffset = 4, kLengthBits = 16;
+  for (size_t bit = 0; bit < kLengthBits; ++bit) {
+    std::string damaged = bytes;
+    char& byte = damaged[last_record + kLengthOffset + bit / 8];
+    byte = static_cast<char>(byte ^ 1 << bit % 8);
+    EXPECT_EQ(CheckLog(damaged).state, LogCheck::State::kDamaged) << bit;
+  }
+}
+
 }  // namespace
 }  // namespace badgershore::store
