A torn log beside empty newer ones opens again, as does one nobody needs

Cause: the check on logs took a torn end of any log but the newest for damage.

Now a torn end is accepted in a log that only empty ones follow, and cut and said as ever: a log is synced whole before a record goes to a newer one, so nothing acknowledged is in it. A log that the manifest does not need, as the library's property of the oldest needed log says, is left to the library. In both cases only a record that ends short counts; all else is refused with file and byte as before.

ATornLogBesideAnEmptyNewerOneOpens and ATornLogThatTheManifestDoesNotNeedIs- PassedOver fail on the code before ("000009.log: byte 81: damaged"); their directories are made by the fault. All 648 flipped bits before the torn end are refused, and a torn log beside one with records is.

--- a/src/store/disk/engine.cpp
+++ b/src/store/disk/engine.cpp
@@ -132,7 +132,9 @@
     if (status.ok() || !(status.IsIOError() || status.IsPathNotFound())) break;
     ::usleep(kReadOnlyRetryDelayUs);
   }
-  if (!status.ok()) CheckLogs(dir_);  // names the damaged file, if that is the reason
+  if (!status.ok()) {  // names the damaged file, if that is the reason
+    CheckLogs(dir_, [this] { return OldestNeededLog(); });
+  }
   return status;
 }
 
@@ -141,11 +143,25 @@
   {
     // Another process that holds the lock is writing: its logs must not be touched.
     const DirectoryLock lock(options.env, dir_);
-    for (std::string& warning : RecoverLogs(dir_)) notes_.push_back(std::move(warning));
+    std::vector<std::string> warnings = RecoverLogs(dir_, [this] { return OldestNeededLog(); });
+    for (std::string& warning : warnings) notes_.push_back(std::move(warning));
   }
   return rocksdb::DB::Open(options, dir_, db);
 }
 
+// As the manifest has it; 0 where that can't be read, so that all logs count as needed.
+uint64_t Engine::OldestNeededLog() const {
+  rocksdb::Options options = DatabaseOptions(DatabaseAccess::kReadOnly, options_.env);
+  options.wal_recovery_mode = rocksdb::WALRecoveryMode::kSkipAnyCorruptedRecords;
+  rocksdb::DB* db = nullptr;
+  if (!rocksdb::DB::OpenForReadOnly(options, dir_, &db).ok()) return 0;
+  const std::unique_ptr<rocksdb::DB> database(db);
+  uint64_t number = 0;
+  const bool known =
+      database->GetIntProperty(rocksdb::DB::Properties::kMinLogNumberToKeep, &number);
+  return known ? number : 0;
+}
+
 void Engine::LoadMetadata() {
   std::string metadata;
   rocksdb::ReadOptions read;
--- a/src/store/disk/engine.h
+++ b/src/store/disk/engine.h
@@ -65,6 +65,7 @@
  private:
   void Open();
   void PrepareDirectory() const;
+  uint64_t OldestNeededLog() const;
   rocksdb::Status OpenReadOnly(rocksdb::DB** db);
   rocksdb::Status OpenReadWrite(rocksdb::DB** db);
   void LoadMetadata();
--- a/src/store/disk/log_recovery.cpp
+++ b/src/store/disk/log_recovery.cpp
@@ -63,20 +63,37 @@
 
 enum class TornEnd { kKeep, kCut };
 
-// Only the newest write-ahead log may have a torn end: the others were synced whole before a newer
-// one was begun. A torn end of the manifest names nothing that was acknowledged.
-std::vector<std::string> WalkLogs(const std::string& dir, TornEnd torn_end) {
+bool IsEmpty(const LogFile& log) {
+  std::error_code error;
+  return fs::file_size(log.path, error) == 0 && !error;
+}
+
+// No acknowledged write can be in the torn end of `logs[index]`: a log is synced whole before a
+// record goes to a newer one.
+bool MayEndTorn(const std::vector<LogFile>& logs, size_t index, const LogCheck& check) {
+  if (index + 1 == logs.size()) return true;
+  const auto newer = logs.begin() + static_cast<std::ptrdiff_t>(index) + 1;
+  return check.ends_in_record && std::all_of(newer, logs.end(), IsEmpty);
+}
+
+// A torn end of the manifest names nothing that was acknowledged.
+std::vector<std::string> WalkLogs(const std::string& dir, TornEnd torn_end,
+                                  const OldestNeededLog& oldest_needed_log) {
   std::vector<std::string> warnings;
   const std::vector<LogFile> logs = ListLogs(dir);
-  for (const LogFile& log : logs) {
+  for (size_t i = 0; i < logs.size(); ++i) {
+    const LogFile& log = logs[i];
     const LogCheck check = CheckLog(ReadFile(log.path));
     if (check.state == LogCheck::State::kWhole) continue;
+    const bool torn = check.state == LogCheck::State::kTorn;
+    if (torn && log.IsManifest()) continue;
     const std::string where = log.path.string() + ": byte " + std::to_string(check.bad_at);
-    const bool is_newest = &log == &logs.back();
-    if (check.state == LogCheck::State::kDamaged || (!is_newest && !log.IsManifest())) {
-      throw DiskError(where + ": damaged; restore a snapshot");
+    if (!torn) throw DataDamagedError(where + ": damaged; restore a snapshot");
+    if (!MayEndTorn(logs, i, check)) {
+      if (log.number < oldest_needed_log()) continue;
+      throw DataDamagedError(where + ": damaged; restore a snapshot");
     }
-    if (torn_end == TornEnd::kKeep || log.IsManifest()) continue;
+    if (torn_end == TornEnd::kKeep) continue;
     const uint64_t torn_bytes = fs::file_size(log.path) - check.good_bytes;
     warnings.push_back(where + ": a torn end of " + std::to_string(torn_bytes) + " bytes was cut");
     Truncate(log.path, check.good_bytes, where);
@@ -86,10 +103,13 @@
 
 }  // namespace
 
-void CheckLogs(const std::string& dir) { WalkLogs(dir, TornEnd::kKeep); }
+void CheckLogs(const std::string& dir, const OldestNeededLog& oldest_needed_log) {
+  WalkLogs(dir, TornEnd::kKeep, oldest_needed_log);
+}
 
-std::vector<std::string> RecoverLogs(const std::string& dir) {
-  return WalkLogs(dir, TornEnd::kCut);
+std::vector<std::string> RecoverLogs(const std::string& dir,
+                                     const OldestNeededLog& oldest_needed_log) {
+  return WalkLogs(dir, TornEnd::kCut, oldest_needed_log);
 }
 
 }  // namespace badgershore::store
