A replica whose own disk takes no entry stops leading after two leases

Cause: the leader counts its own disk towards each commit, and its heartbeats kept the others from standing. A write that surely failed makes it step down; one whose outcome can't be found out, or that never ends, did not.

Now a leader whose entry is not durable on its own disk two leases after it was proposed steps down, as one that is cut from the majority does. What became of the entry is told by the disk later and counts then, as after any stepping down in the middle of a write, which the model's walks have.

--- a/src/replication/core/replica.cpp
+++ b/src/replication/core/replica.cpp
@@ -8,6 +8,8 @@
 
 // Clocks of two machines run apart by 0.05% at most; the rest is for timers.
 constexpr double kLeaseShare = 0.98;
+// A leader that can commit nothing gives way after so many leases.
+constexpr double kPatienceLeases = 2;
 constexpr Micros kResendAfter = Millis(500);
 constexpr size_t kKeptEntries = 512;
 constexpr size_t kKeptBytes = 8 << 20;
@@ -306,6 +308,7 @@
   last_ = entry.position;
   pending_ = entry.position;
   own_durable_ = false;
+  proposed_at_ = now;
   Keep(entry);
   Ask(StoreEntry{std::move(entry), stored_.history});
   for (auto& [name, peer] : peers_) Advance(now, name, &peer);
@@ -336,7 +339,12 @@
   heartbeat_at_ = now + settings_.heartbeat;
   if (MayServe(now)) majority_at_ = now;
   // Cut from the majority it can do nothing for its clients, and another may lead already.
-  if (now > majority_at_ + settings_.lease.Scaled(2)) return StepDown(now, term_);
+  if (now > majority_at_ + settings_.lease.Scaled(kPatienceLeases)) return StepDown(now, term_);
+  // Its own disk does not take the entry: it commits nothing and keeps the others from leading.
+  const bool waits_for_disk = pending_ && !own_durable_;
+  if (waits_for_disk && now > proposed_at_ + settings_.lease.Scaled(kPatienceLeases)) {
+    return StepDown(now, term_);
+  }
   // An earlier term's batches are committed only by an entry of this term on top of them.
   if (!ready_ && !pending_ && !writing_) {
     Begin(now, Entry{last_, {term_, last_.index + 1}, std::nullopt});
--- a/src/replication/core/replica.h
+++ b/src/replication/core/replica.h
@@ -166,6 +166,7 @@
   size_t recent_bytes_ = 0;
   Micros heartbeat_at_;
   Micros majority_at_;  // a majority had heard it then
+  Micros proposed_at_;  // when `pending_` went to its disk and to the others
   bool loading_ = false;
   std::string sending_;  // the encoded state, while a peer wants it
   Position sending_position_;
--- a/tests/replication_test.cpp
+++ b/tests/replication_test.cpp
@@ -232,6 +232,23 @@
   EXPECT_EQ(leader.role(), Replica::Role::kFollower);
 }
 
+// Guards against: one disk that takes no entry and keeps the whole service from committing.
+TEST(Replica, ADiskThatDoesNotAnswerStopsLeading) {
+  const Micros now = Seconds(13);
+  Replica leader = Leading(now);
+  leader.Propose(now, store::Batch{});
+  const Micros due = now + kLease.Scaled(2) + Settings().heartbeat;
+  for (Micros at = now; at <= due; at += Millis(50)) {
+    leader.Tick(at);
+    leader.OnMessage(at, From("b", AppendAnswer{leader.term(), at, {1, 5}, true, 0}));
+    leader.Take();
+  }
+  EXPECT_EQ(leader.role(), Replica::Role::kFollower);
+  // What became of the entry is told later, and counts then.
+  leader.OnStored(now + Seconds(30), true);
+  EXPECT_EQ(leader.stored().position, (Position{leader.term(), 7}));
+}
+
 TEST(Replica, AFailingDiskStopsLeading) {
   const Micros now = Seconds(13);
   Replica leader = Leading(now);
