A failed line of the storage library's log no longer ends the state service

What callers saw: with a real failing disk under badgershore-state the program ended by SIGABRT at the first failed append: "Assertion `sync_without_flush_called_' failed". Found by giving the real program a disk that fails, by a library that the tests preload.

Cause: the library keeps its own LOG in the data directory, and its writer asserts that nothing follows a failed append. The library writes to LOG when it meets an error and when a database is closed.

An opening for reading writes nothing into the directory; before, each check or dump renamed the server's LOG.

StateProgramOnAFailingDisk.GoesOnByItselfAndKeepsWhatItAnswered failed before (the program was gone), for no space and for an input/output error.

--- a/src/store/disk/database_options.cpp
+++ b/src/store/disk/database_options.cpp
@@ -6,6 +6,7 @@
 #include <rocksdb/table.h>
 
 #include <memory>
+#include <utility>
 
 namespace badgershore::store {
 namespace {
@@ -31,10 +32,12 @@
 
 }  // namespace
 
-rocksdb::Options DatabaseOptions(DatabaseAccess access, rocksdb::Env* env) {
+rocksdb::Options DatabaseOptions(DatabaseAccess access, rocksdb::Env* env,
+                                 std::shared_ptr<rocksdb::Logger> info_log) {
   const bool writable = access == DatabaseAccess::kReadWrite;
   rocksdb::Options options;
   if (env) options.env = env;
+  options.info_log = std::move(info_log);
   options.create_if_missing = writable;
   options.paranoid_checks = true;
   options.wal_recovery_mode = writable ? rocksdb::WALRecoveryMode::kAbsoluteConsistency
--- a/src/store/disk/database_options.h
+++ b/src/store/disk/database_options.h
@@ -3,6 +3,8 @@
 
 #include <rocksdb/options.h>
 
+#include <memory>
+
 namespace badgershore::store {
 
 enum class DatabaseAccess {
@@ -10,7 +12,8 @@
   kReadOnly,   // beside a writer, whose last record may be incomplete
 };
 
-// `env`: null for the library's own.
-rocksdb::Options DatabaseOptions(DatabaseAccess access, rocksdb::Env* env);
+// `env`, `info_log`: null for the library's own.
+rocksdb::Options DatabaseOptions(DatabaseAccess access, rocksdb::Env* env,
+                                 std::shared_ptr<rocksdb::Logger> info_log = nullptr);
 
 }  // namespace badgershore::store
--- a/src/store/disk/engine.cpp
+++ b/src/store/disk/engine.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 
 #include "store/disk/database_options.h"
+#include "store/disk/info_log.h"
 #include "store/disk/log_recovery.h"
 #include "store/disk/rows.h"
 
@@ -124,7 +125,8 @@
 }
 
 rocksdb::Status Engine::OpenReadOnly(rocksdb::DB** db) {
-  const rocksdb::Options options = DatabaseOptions(DatabaseAccess::kReadOnly, options_.env);
+  const rocksdb::Options options =
+      DatabaseOptions(DatabaseAccess::kReadOnly, options_.env, DiscardingInfoLog());
   rocksdb::Status status;
   // The owner may delete a file between the listing and its opening.
   for (int attempt = 0; attempt < kReadOnlyOpenAttempts; ++attempt) {
@@ -139,19 +141,22 @@
 }
 
 rocksdb::Status Engine::OpenReadWrite(rocksdb::DB** db) {
-  const rocksdb::Options options = DatabaseOptions(DatabaseAccess::kReadWrite, options_.env);
+  rocksdb::Options options = DatabaseOptions(DatabaseAccess::kReadWrite, options_.env);
   {
     // Another process that holds the lock is writing: its logs must not be touched.
     const DirectoryLock lock(options.env, dir_);
+    if (!info_log_) info_log_ = OpenInfoLog(dir_);
     std::vector<std::string> warnings = RecoverLogs(dir_, [this] { return OldestNeededLog(); });
     for (std::string& warning : warnings) notes_.push_back(std::move(warning));
   }
+  options.info_log = info_log_;
   return rocksdb::DB::Open(options, dir_, db);
 }
 
 // As the manifest has it; 0 where that can't be read, so that all logs count as needed.
 uint64_t Engine::OldestNeededLog() const {
-  rocksdb::Options options = DatabaseOptions(DatabaseAccess::kReadOnly, options_.env);
+  rocksdb::Options options =
+      DatabaseOptions(DatabaseAccess::kReadOnly, options_.env, DiscardingInfoLog());
   options.wal_recovery_mode = rocksdb::WALRecoveryMode::kSkipAnyCorruptedRecords;
   rocksdb::DB* db = nullptr;
   if (!rocksdb::DB::OpenForReadOnly(options, dir_, &db).ok()) return 0;
--- a/src/store/disk/engine.h
+++ b/src/store/disk/engine.h
@@ -19,6 +19,7 @@
 namespace rocksdb {
 class DB;
 class Env;
+class Logger;
 class Status;
 class WriteBatch;
 }  // namespace rocksdb
@@ -74,6 +75,7 @@
   std::string dir_;
   OpenMode mode_;
   EngineOptions options_;
+  std::shared_ptr<rocksdb::Logger> info_log_;
   std::unique_ptr<rocksdb::DB> db_;
   std::vector<std::string> notes_;
   uint64_t writes_ = 0;  // durable batches, ever
--- /dev/null
+++ b/tests/failing_disk.cpp
@@ -0,0 +1,110 @@
+// A library to preload into a program, whose disk then fails while a file says so. Calls that
+// change files below FAILING_DISK_DIRECTORY fail with the error that the file FAILING_DISK_CONTROL
+// holds as a number (errno); absent or empty: they work. What is written by a failing write is half
+// of it.
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/types.h>
+#include <unistd.h>
+
+namespace {
+
+template <typename Function>
+Function Next(const char* name) {
+  return reinterpret_cast<Function>(dlsym(RTLD_NEXT, name));
+}
+
+using Open = int (*)(const char*, int, ...);
+
+// The error that changes fail with now; 0: none.
+int CurrentFault() {
+  static const char* control = getenv("FAILING_DISK_CONTROL");
+  if (!control) return 0;
+  static const Open open_file = Next<Open>("open");
+  const int file = open_file(control, O_RDONLY | O_CLOEXEC);
+  if (file < 0) return 0;
+  char text[16] = "";
+  const ssize_t size = read(file, text, sizeof(text) - 1);
+  close(file);
+  return size > 0 ? atoi(text) : 0;
+}
+
+bool IsBelow(const char* path) {
+  static const char* directory = getenv("FAILING_DISK_DIRECTORY");
+  return directory && strncmp(path, directory, strlen(directory)) == 0;
+}
+
+bool IsBelow(int file) {
+  char link[64], path[4096];
+  snprintf(link, sizeof(link), "/proc/self/fd/%d", file);
+  const ssize_t size = readlink(link, path, sizeof(path) - 1);
+  if (size <= 0) return false;
+  path[size] = '\0';
+  return IsBelow(path);
+}
+
+template <typename Target>
+bool Fails(Target target) {
+  const int saved = errno;
+  const int fault = IsBelow(target) ? CurrentFault() : 0;
+  errno = fault != 0 ? fault : saved;
+  return fault != 0;
+}
+
+}  // namespace
+
+extern "C" {
+
+ssize_t write(int file, const void* data, size_t size) {
+  static const auto next = Next<ssize_t (*)(int, const void*, size_t)>("write");
+  if (!Fails(file)) return next(file, data, size);
+  const int fault = errno;
+  if (size > 1) (void)!next(file, data, size / 2);
+  errno = fault;
+  return -1;
+}
+
+ssize_t pwrite(int file, const void* data, size_t size, off_t at) {
+  static const auto next = Next<ssize_t (*)(int, const void*, size_t, off_t)>("pwrite");
+  if (!Fails(file)) return next(file, data, size, at);
+  const int fault = errno;
+  if (size > 1) (void)!next(file, data, size / 2, at);
+  errno = fault;
+  return -1;
+}
+
+int fsync(int file) {
+  static const auto next = Next<int (*)(int)>("fsync");
+  return Fails(file) ? -1 : next(file);
+}
+
+int fdatasync(int file) {
+  static const auto next = Next<int (*)(int)>("fdatasync");
+  return Fails(file) ? -1 : next(file);
+}
+
+int ftruncate(int file, off_t size) {
+  static const auto next = Next<int (*)(int, off_t)>("ftruncate");
+  return Fails(file) ? -1 : next(file, size);
+}
+
+int rename(const char* from, const char* to) {
+  static const auto next = Next<int (*)(const char*, const char*)>("rename");
+  return Fails(to) ? -1 : next(from, to);
+}
+
+int open(const char* path, int flags, ...) {
+  static const Open next = Next<Open>("open");
+  va_list rest;
+  va_start(rest, flags);
+  const mode_t mode = (flags & O_CREAT) != 0 ? va_arg(rest, mode_t) : 0;
+  va_end(rest);
+  return (flags & O_CREAT) != 0 && Fails(path) ? -1 : next(path, flags, mode);
+}
+
+}  // extern "C"
--- /dev/null
+++ b/tests/failing_disk.h
@@ -0,0 +1,49 @@
+// A disk for programs that a test starts, which fails when the test says so: see failing_disk.cpp.
+#pragma once
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <utility>
+
+namespace badgershore {
+
+class FailingDisk {
+ public:
+  // Changes to files below `directory` can fail; `control` is a file of the test's.
+  FailingDisk(std::string directory, std::string control)
+      : directory_(std::move(directory)), control_(std::move(control)) {}
+  ~FailingDisk() { End(); }
+  FailingDisk(const FailingDisk&) = delete;
+  FailingDisk& operator=(const FailingDisk&) = delete;
+
+  // Programs started between Begin and End have this disk.
+  void Begin() {
+    setenv("FAILING_DISK_DIRECTORY", directory_.c_str(), 1);
+    setenv("FAILING_DISK_CONTROL", control_.c_str(), 1);
+    setenv("LD_PRELOAD", BADGERSHORE_FAILING_DISK, 1);
+    const char* options = std::getenv("ASAN_OPTIONS");
+    asan_options_ = options ? options : "";
+    setenv("ASAN_OPTIONS", (asan_options_ + ":verify_asan_link_order=0").c_str(), 1);
+    begun_ = true;
+  }
+  void End() {
+    if (!std::exchange(begun_, false)) return;
+    unsetenv("LD_PRELOAD");
+    setenv("ASAN_OPTIONS", asan_options_.c_str(), 1);
+  }
+  // Every change fails with `error` (errno) from now on.
+  void Fail(int error) {
+    const std::string beside = control_ + ".new";
+    std::ofstream(beside) << error;
+    std::filesystem::rename(beside, control_);
+  }
+  void Heal() { std::filesystem::remove(control_); }
+
+ private:
+  std::string directory_, control_, asan_options_;
+  bool begun_ = false;
+};
+
+}  // namespace badgershore
--- a/tests/state_program_test.cpp
+++ b/tests/state_program_test.cpp
@@ -4,11 +4,13 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
+#include "failing_disk.h"
 #include "http/client.h"
 #include "io/loop.h"
 
@@ -160,5 +162,51 @@
             429);
 }
 
+class StateProgramOnAFailingDisk : public StateProgram {
+ protected:
+  StateProgramOnAFailingDisk() : disk_(root_ + "/data", root_ + "/fault") {}
+  void StartOnFailingDisk() {
+    disk_.Begin();
+    Start();
+    disk_.End();
+  }
+  int Put(const std::string& key, int value) {
+    return Status("POST", "/commit",
+                  R"({"then":[{"put":")" + key + R"(","value":)" + std::to_string(value) + "}]}");
+  }
+  // Until a change is answered 200, for 10 s; the key's number.
+  int PutUntilAccepted(int from) {
+    for (int tries = 0; tries < 100; ++tries) {
+      if (Put("k/" + std::to_string(from + tries), from + tries) == 200) return from + tries;
+      usleep(100'000);
+    }
+    return -1;
+  }
+  FailingDisk disk_;
+};
+
+// Guards against: a disk that fails for a while and is never used again, acknowledged changes lost
+// by it, and a refused change that is there.
+TEST_F(StateProgramOnAFailingDisk, GoesOnByItselfAndKeepsWhatItAnswered) {
+  for (const int fault : {ENOSPC, EIO}) {
+    fs::remove_all(root_ + "/data");
+    StartOnFailingDisk();
+    ASSERT_EQ(Put("k/1", 1), 200);
+    disk_.Fail(fault);
+    EXPECT_NE(Put("k/2", 2), 200);
+    EXPECT_EQ(Put("k/3", 3), 503);
+    EXPECT_EQ(Status("GET", "/store/k/1"), 200);
+    disk_.Heal();
+    const int accepted = PutUntilAccepted(10);
+    ASSERT_GE(accepted, 10);
+    Kill();
+    Start();
+    EXPECT_EQ(Status("GET", "/store/k/1"), 200);
+    EXPECT_EQ(Status("GET", "/store/k/3"), 404);
+    EXPECT_EQ(Status("GET", "/store/k/" + std::to_string(accepted)), 200);
+    Kill();
+  }
+}
+
 }  // namespace
 }  // namespace badgershore
