A failing disk is retried with a backoff and named; damage ends the service

What callers saw: a state service that found damage while it reopened its disk looped for ever without a line in the log, and a replica in that loop could not be told to end. A failing disk was retried every 0.5 s with no reason given.

Cause: every DiskError counted as one that may pass, its text was dropped, and the replica's loop never looked whether it should end. The two services had the loop twice.

Now damage is a DataDamagedError: it leaves the loop, the program says file, byte and what to do and ends with exit code 3, at the start too. Less on the disk than was acknowledged is damage as well. What may pass is retried after 0.1 to 2 s, with its reason in the log the first time and every 30 s, until it works or the program is told to end (DiskRecovery, for both services). A write while another is unresolved is refused; before, it was kUnknown, and the resolving told of the other one.

--- a/src/programs/common.h
+++ b/src/programs/common.h
@@ -7,6 +7,7 @@
 namespace badgershore::programs {
 
 constexpr int kBadInput = 2;
+constexpr int kDataDamaged = 3;  // what is on the disk is not what was written
 
 // The log goes to standard error; LOG_LEVEL is error, info or debug. `format` is text or json.
 // False, with a line said, where either is none of these.
--- a/src/programs/state.cpp
+++ b/src/programs/state.cpp
@@ -39,6 +39,13 @@
   return s;
 }
 
+// Ends the service where its data is damaged; the exit code.
+int StopFor(io::Loop* loop, const std::string& damage) {
+  spdlog::error("{}", damage);
+  loop->Stop();
+  return programs::kDataDamaged;
+}
+
 int Serve(const std::string& dir, const std::string& listen, const Settings& settings) {
   store::Engine engine(dir, store::Engine::OpenMode::kReadWrite, settings.engine);
   if (!engine.LoadOwnerMetadata().empty()) {
@@ -49,6 +56,8 @@
   io::Loop loop;
   store::Service service(&loop, &engine, settings.limits,
                          static_cast<size_t>(settings.max_connections));
+  int exit_code = 0;
+  service.SetOnDataDamaged([&](const std::string& line) { exit_code = StopFor(&loop, line); });
   if (const auto started = service.Start(listen); !started) {
     std::fprintf(stderr, "badgershore-state: %s\n", started.error().message.c_str());
     return 1;
@@ -59,7 +68,7 @@
   std::printf("listening on %s\n", service.address().c_str());
   std::fflush(stdout);
   loop.Run();
-  return 0;
+  return exit_code;
 }
 
 // One of several replicas: its addresses are those of the set's file.
@@ -73,6 +82,8 @@
   io::Loop loop;
   replication::ReplicatedService service(&loop, &engine, settings.limits, set, name,
                                          static_cast<size_t>(settings.max_connections));
+  int exit_code = 0;
+  service.SetOnDataDamaged([&](const std::string& line) { exit_code = StopFor(&loop, line); });
   if (const auto started = service.Start(); !started) {
     std::fprintf(stderr, "badgershore-state: %s\n", started.error().message.c_str());
     return 1;
@@ -81,7 +92,7 @@
   std::printf("listening on %s\n", service.address().c_str());
   std::fflush(stdout);
   loop.Run();
-  return 0;
+  return exit_code;
 }
 
 // Makes a directory a replica's. Run on every replica before its first start, on equal contents.
@@ -180,6 +191,9 @@
   } catch (const config::Error& e) {
     std::fprintf(stderr, "badgershore-state: %s\n", e.what());
     return programs::kBadInput;
+  } catch (const store::DataDamagedError& e) {
+    std::fprintf(stderr, "badgershore-state: %s\n", e.what());
+    return programs::kDataDamaged;
   } catch (const store::DiskError& e) {
     std::fprintf(stderr, "badgershore-state: %s\n", e.what());
     return 1;
--- a/src/replication/service/service.cpp
+++ b/src/replication/service/service.cpp
@@ -84,6 +84,7 @@
           loop, [this](http::Message m) { return HandleClient(std::move(m)); }, max_connections),
       messages_(
           loop, [this](http::Message m) { return HandlePeer(std::move(m)); }, 256, kMessageLimits),
+      disk_recovery_(engine, &mailbox_),
       disk_(&mailbox_) {
   for (const ReplicaAddress& replica : set.replicas) {
     if (replica.name == name) continue;
@@ -96,6 +97,9 @@
   }
 }
 
+// A job that waits for the disk to work again must not keep the process from ending.
+ReplicatedService::~ReplicatedService() { disk_recovery_.Stop(); }
+
 Result<void> ReplicatedService::Start() {
   if (auto started = clients_.Start(self_.client); !started) return started;
   if (auto started = messages_.Start(self_.peer); !started) return started;
@@ -165,22 +169,11 @@
     after.position = image->position;
     after.history = image->history;
   }
-  disk_.Post([this, write, note = Encode(after)]() -> std::function<void()> {
-    store::WriteOutcome written = store::WriteOutcome::kAbsent;
-    if (const auto* entry = std::get_if<StoreEntry>(&write)) {
-      const auto& batch = entry->entry.batch;
-      written = engine_->WriteWithOwnerMetadata(batch ? &*batch : nullptr, note);
-    } else if (const auto* image = std::get_if<StoreImage>(&write)) {
-      const auto state = DecodeImage(image->bytes);
-      if (state) written = engine_->Replace(*state, note);
-    } else {
-      written = engine_->WriteWithOwnerMetadata(nullptr, note);
-    }
+  PostDiskJob([this, write, note = Encode(after)]() -> std::function<void()> {
+    store::WriteOutcome written = disk_recovery_.Record(WriteToEngine(write, note));
     // What can't be found out must not be guessed: nothing else is done until it is known.
-    while (written == store::WriteOutcome::kUnknown) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(500));
-      written = engine_->ResolveUnknownWrite();
-    }
+    if (written == store::WriteOutcome::kUnknown) written = disk_recovery_.ResolveUnknownWrite();
+    if (written == store::WriteOutcome::kUnknown) return [] {};
     return [this, ok = written == store::WriteOutcome::kDurable] {
       if (!ok) spdlog::error("the disk takes no changes");
       replica_.OnStored(io::Loop::Now(), ok);
@@ -189,11 +182,40 @@
   });
 }
 
+store::WriteOutcome ReplicatedService::WriteToEngine(const Write& write, const std::string& note) {
+  if (const auto* entry = std::get_if<StoreEntry>(&write)) {
+    const auto& batch = entry->entry.batch;
+    return engine_->WriteWithOwnerMetadata(batch ? &*batch : nullptr, note);
+  }
+  if (const auto* image = std::get_if<StoreImage>(&write)) {
+    const auto state = DecodeImage(image->bytes);
+    return state ? engine_->Replace(*state, note) : store::WriteOutcome::kAbsent;
+  }
+  return engine_->WriteWithOwnerMetadata(nullptr, note);
+}
+
+void ReplicatedService::PostDiskJob(io::Worker::Job job) {
+  disk_.Post([this, job = std::move(job)]() -> std::function<void()> {
+    try {
+      return job();
+    } catch (const store::DataDamagedError& error) {
+      return [this, line = std::string(error.what())] {
+        if (on_damaged_) on_damaged_(line);
+      };
+    }
+  });
+}
+
 // Behind all writes so far, so the state and the note's position belong together.
 void ReplicatedService::LoadImage() {
-  disk_.Post([this]() -> std::function<void()> {
-    const auto stored = DecodeStored(engine_->LoadOwnerMetadata());
-    std::string bytes = Encode(engine_->Load());
+  PostDiskJob([this]() -> std::function<void()> {
+    std::optional<Stored> stored;
+    std::string bytes;
+    const auto read = [&] {
+      stored = DecodeStored(engine_->LoadOwnerMetadata());
+      bytes = Encode(engine_->Load());
+    };
+    if (!disk_recovery_.Read(read)) return [] {};
     return [this, position = stored ? stored->position : Position{}, bytes = std::move(bytes)] {
       replica_.OnImage(io::Loop::Now(), position, bytes);
       Flush();
@@ -212,8 +234,9 @@
   if (machine_ && (!leads || machine_term_ != replica_.term())) DropMachine();
   if (!leads || machine_ || loading_term_ == replica_.term()) return;
   loading_term_ = replica_.term();
-  disk_.Post([this, term = loading_term_]() -> std::function<void()> {
-    auto image = std::make_shared<store::StateImage>(engine_->Load());
+  PostDiskJob([this, term = loading_term_]() -> std::function<void()> {
+    auto image = std::make_shared<store::StateImage>();
+    if (!disk_recovery_.Read([&] { *image = engine_->Load(); })) return [] {};
     return [this, term, image] {
       StartMachine(term, std::move(*image));
       Flush();
--- a/src/replication/service/service.h
+++ b/src/replication/service/service.h
@@ -19,6 +19,7 @@
 #include "replication/core/replica.h"
 #include "replication/service/replica_set.h"
 #include "store/disk/engine.h"
+#include "store/service/disk_recovery.h"
 #include "store/state_machine.h"
 
 namespace badgershore::replication {
@@ -29,8 +30,11 @@
   // the directory holds a state that is not a replica's.
   ReplicatedService(io::Loop* loop, store::Engine* engine, store::Limits limits,
                     const ReplicaSet& set, const std::string& name, size_t max_connections);
+  ~ReplicatedService();
   // Listens for clients and for the other replicas, and takes part from then on.
   [[nodiscard]] Result<void> Start();
+  // Call it before Start.
+  void SetOnDataDamaged(store::OnDataDamaged on_damaged) { on_damaged_ = std::move(on_damaged); }
   const std::string& address() const { return self_.client; }
 
  private:
@@ -54,7 +58,10 @@
   // Carries out what the core and the machine have asked for.
   void Flush();
   void FlushMachine();
+  // Runs `job` on the disk's thread, behind all jobs so far, and what it returns in the loop.
+  void PostDiskJob(io::Worker::Job job);
   void StoreOnDisk(const Write& write);
+  store::WriteOutcome WriteToEngine(const Write& write, const std::string& note);
   void LoadImage();
   void FollowRole();
   void StartMachine(uint64_t term, store::StateImage image);
@@ -78,6 +85,8 @@
   bool flushing_ = false;
   Replica::Role logged_role_ = Replica::Role::kFollower;
   http::Server clients_, messages_;
+  store::OnDataDamaged on_damaged_;
+  store::DiskRecovery disk_recovery_;
   io::Worker disk_;  // last: it ends first
 };
 
--- a/src/store/disk/engine.cpp
+++ b/src/store/disk/engine.cpp
@@ -27,6 +27,12 @@
 constexpr int kReadOnlyOpenAttempts = 20;
 constexpr useconds_t kReadOnlyRetryDelayUs = 50'000;
 
+[[noreturn]] void ThrowFailure(const std::string& dir, const rocksdb::Status& status) {
+  const std::string line = dir + ": " + OneLine(status.ToString());
+  if (status.IsCorruption()) throw DataDamagedError(line + "; restore a snapshot");
+  throw DiskError(line);
+}
+
 // A file that the storage library leaves in a directory before the database exists.
 bool IsDatabaseFile(const fs::path& path) {
   const std::string name = path.filename().string();
@@ -100,11 +106,10 @@
   const rocksdb::Status status =
       mode_ == OpenMode::kReadOnly ? OpenReadOnly(&db) : OpenReadWrite(&db);
   if (!status.ok()) {
-    const std::string reason = status.ToString();
-    if (reason.find("/LOCK") != std::string::npos) {
+    if (status.ToString().find("/LOCK") != std::string::npos) {
       throw DiskError(dir_ + ": in use by another process");
     }
-    throw DiskError(dir_ + ": " + OneLine(reason));
+    ThrowFailure(dir_, status);
   }
   db_.reset(db);
   LoadMetadata();
@@ -171,10 +176,13 @@
   std::string metadata;
   rocksdb::ReadOptions read;
   read.verify_checksums = true;
-  const rocksdb::Status status = db_->Get(read, kMetadataKey, &metadata);
-  if (status.IsNotFound()) return;
-  if (!status.ok()) throw DiskError(dir_ + ": " + OneLine(status.ToString()));
-  const auto row = Unpack<MetaRow>(kMetadataKey, metadata);
+  const rocksdb::Status status = Database()->Get(read, kMetadataKey, &metadata);
+  if (!status.ok() && !status.IsNotFound()) ThrowFailure(dir_, status);
+  const MetaRow row = status.ok() ? Unpack<MetaRow>(kMetadataKey, metadata) : MetaRow{};
+  if (row.writes < writes_) {
+    throw DataDamagedError(dir_ + ": " + std::to_string(writes_ - row.writes) +
+                           " acknowledged writes are missing; restore a snapshot");
+  }
   writes_ = row.writes;
   epoch_ = row.epoch;
   last_lease_ = row.last_lease;
@@ -186,7 +194,7 @@
   rocksdb::ReadOptions read;
   read.verify_checksums = true;
   read.fill_cache = false;
-  std::unique_ptr<rocksdb::Iterator> it(db_->NewIterator(read));
+  std::unique_ptr<rocksdb::Iterator> it(Database()->NewIterator(read));
   bool meta = false;
   for (it->SeekToFirst(); it->Valid(); it->Next()) {
     const rocksdb::Slice key = it->key(), value = it->value();
@@ -219,12 +227,13 @@
       case 'r':  // the owner's note
         break;
       default:
-        throw DiskError(dir_ + ": record " + key.ToString(true) + " is of no known kind");
+        throw DataDamagedError(dir_ + ": record " + key.ToString(true) +
+                               " is of no known kind; restore a snapshot");
     }
   }
-  if (!it->status().ok()) throw DiskError(dir_ + ": " + OneLine(it->status().ToString()));
+  if (!it->status().ok()) ThrowFailure(dir_, it->status());
   if (!meta && (!image.items.empty() || !image.change_log.empty())) {
-    throw DiskError(dir_ + ": the revision's record is missing");
+    throw DataDamagedError(dir_ + ": the revision's record is missing; restore a snapshot");
   }
   // The revision's record comes after the changes; what it has forgotten goes now.
   while (!image.change_log.empty() && image.change_log.front().revision <= image.compacted_revision)
@@ -258,19 +267,32 @@
 WriteOutcome Engine::Commit(rocksdb::WriteBatch* out) {
   rocksdb::WriteOptions sync;
   sync.sync = true;
-  if (!db_->Write(sync, out).ok()) return ResolveUnknownWrite();
-  writes_ = expected_;
-  return WriteOutcome::kDurable;
+  const rocksdb::Status status = db_->Write(sync, out);
+  if (status.ok()) {
+    writes_ = expected_;
+    return WriteOutcome::kDurable;
+  }
+  if (status.IsCorruption()) ThrowFailure(dir_, status);  // found by the library's own threads
+  last_failure_ = dir_ + ": " + OneLine(status.ToString());
+  return ResolveUnknownWrite();
+}
+
+rocksdb::DB* Engine::Database() const {
+  if (!db_) throw DiskError(dir_ + ": closed after a failed write");
+  return db_.get();
+}
+
+bool Engine::AcceptsWrites() {
+  if (!db_) return false;
+  if (options_.free_bytes(dir_) >= options_.reserve_bytes) return true;
+  last_failure_ = dir_ + ": less than " + std::to_string(options_.reserve_bytes) + " bytes free";
+  return false;
 }
 
 WriteOutcome Engine::Write(const Batch& batch) { return WriteWithOwnerMetadata(&batch, ""); }
 
 WriteOutcome Engine::WriteWithOwnerMetadata(const Batch* batch, const std::string& note) {
-  if (!db_) {
-    return ResolveUnknownWrite() == WriteOutcome::kUnknown ? WriteOutcome::kUnknown
-                                                           : WriteWithOwnerMetadata(batch, note);
-  }
-  if (options_.free_bytes(dir_) < options_.reserve_bytes) return WriteOutcome::kAbsent;
+  if (!AcceptsWrites()) return WriteOutcome::kAbsent;
   rocksdb::WriteBatch out;
   expected_ = writes_ + 1;
   const MetaRow meta =
@@ -292,8 +314,7 @@
 }
 
 WriteOutcome Engine::Replace(const StateImage& image, const std::string& note) {
-  if (!db_ && ResolveUnknownWrite() == WriteOutcome::kUnknown) return WriteOutcome::kUnknown;
-  if (options_.free_bytes(dir_) < options_.reserve_bytes) return WriteOutcome::kAbsent;
+  if (!AcceptsWrites()) return WriteOutcome::kAbsent;
   rocksdb::WriteBatch out;
   expected_ = writes_ + 1;
   out.DeleteRange("c", "m");  // changes, items and leases
@@ -314,12 +335,11 @@
 
 std::string Engine::LoadOwnerMetadata() {
   std::string note;
-  if (!db_) return note;
   rocksdb::ReadOptions read;
   read.verify_checksums = true;
-  const rocksdb::Status s = db_->Get(read, kOwnerMetadataKey, &note);
-  if (!s.ok() && !s.IsNotFound()) throw DiskError(dir_ + ": " + OneLine(s.ToString()));
-  return s.ok() ? note : std::string();
+  const rocksdb::Status status = Database()->Get(read, kOwnerMetadataKey, &note);
+  if (!status.ok() && !status.IsNotFound()) ThrowFailure(dir_, status);
+  return status.ok() ? note : std::string();
 }
 
 // A failed write may be on the disk all the same. Opening the database again writes what its logs
@@ -328,7 +348,11 @@
   try {
     notes_.clear();
     Open();
-  } catch (const DiskError&) {
+  } catch (const DataDamagedError&) {
+    db_.reset();
+    throw;
+  } catch (const DiskError& error) {
+    last_failure_ = error.what();
     db_.reset();
     return WriteOutcome::kUnknown;
   }
@@ -341,8 +365,8 @@
     if (!last && out.GetDataSize() < 4 << 20) return;
     rocksdb::WriteOptions sync;
     sync.sync = last;
-    const rocksdb::Status s = db_->Write(sync, &out);
-    if (!s.ok()) throw DiskError(dir_ + ": " + OneLine(s.ToString()));
+    const rocksdb::Status status = Database()->Write(sync, &out);
+    if (!status.ok()) ThrowFailure(dir_, status);
     out.Clear();
   };
   for (const auto& [key, item] : image.items) {
--- a/src/store/disk/engine.h
+++ b/src/store/disk/engine.h
@@ -2,7 +2,10 @@
 //
 // Opening cuts a torn end and says so; damage anywhere else is an error that names the file.
 // After a write that failed the database is opened again, and what it then holds decides whether
-// the batch was written (see Write).
+// the batch was written (see Write). The engine alone recovers: the library's own recovery is off.
+//
+// Every member that touches the disk throws a DataDamagedError where it finds damage; a DiskError
+// where a read or an opening failed in a way that may pass.
 //
 // One thread at a time may use an engine.
 #pragma once
@@ -47,7 +50,8 @@
 
   // Whole, with every checksum verified.
   StateImage Load();
-  // kUnknown: the disk fails so that not even that can be found out; Settle tries again.
+  // kUnknown: the disk fails so that not even that can be found out; ResolveUnknownWrite tries
+  // again and has to succeed before the next write, which is refused (kAbsent) until then.
   WriteOutcome Write(const Batch& batch);
   // The same with a note of the owner's, in one durable write; without a batch the note alone.
   WriteOutcome WriteWithOwnerMetadata(const Batch* batch, const std::string& note);
@@ -56,6 +60,8 @@
   std::string LoadOwnerMetadata();  // empty: none was ever written
   // After kUnknown: what became of that batch, or kUnknown still.
   WriteOutcome ResolveUnknownWrite();
+  // Why the last write was not kDurable, or the last resolving not possible.
+  const std::string& last_failure() const { return last_failure_; }
   // Fills an empty directory from an image; durable when it returns.
   void Initialize(const StateImage& image);
 
@@ -70,6 +76,8 @@
   rocksdb::Status OpenReadOnly(rocksdb::DB** db);
   rocksdb::Status OpenReadWrite(rocksdb::DB** db);
   void LoadMetadata();
+  rocksdb::DB* Database() const;  // throws a DiskError while it is closed after a failure
+  bool AcceptsWrites();
   WriteOutcome Commit(rocksdb::WriteBatch* out);
 
   std::string dir_;
@@ -78,6 +86,7 @@
   std::shared_ptr<rocksdb::Logger> info_log_;
   std::unique_ptr<rocksdb::DB> db_;
   std::vector<std::string> notes_;
+  std::string last_failure_;
   uint64_t writes_ = 0;  // durable batches, ever
   // The revision and its like after the last durable write.
   uint64_t epoch_ = 0, last_lease_ = 0, compacted_ = 0;
--- a/src/store/disk/rows.h
+++ b/src/store/disk/rows.h
@@ -121,9 +121,9 @@
     format = 0;
   }
   const std::string name = "record " + key.ToString(true);
-  throw DiskError(format == 0 ? name + " can't be read"
-                              : name + " has format " + std::to_string(format) +
-                                    ", this program reads " + std::to_string(kFormat));
+  if (format == 0) throw DataDamagedError(name + " can't be read; restore a snapshot");
+  throw DiskError(name + " has format " + std::to_string(format) + ", this program reads " +
+                  std::to_string(kFormat));
 }
 
 }  // namespace badgershore::store
--- a/src/store/service/service.cpp
+++ b/src/store/service/service.cpp
@@ -5,17 +5,17 @@
 #include "wire/store_messages.h"
 
 namespace badgershore::store {
-namespace {
-constexpr auto kSettleEvery = std::chrono::milliseconds(500);
-}
-
-DiskThread::DiskThread(Engine* engine, io::Mailbox* mailbox, OnWritten on_written)
+DiskThread::DiskThread(Engine* engine, io::Mailbox* mailbox, OnWritten on_written,
+                       OnDataDamaged on_damaged)
     : engine_(engine),
       mailbox_(mailbox),
       on_written_(std::move(on_written)),
+      on_damaged_(std::move(on_damaged)),
+      recovery_(engine, mailbox),
       thread_([this] { Run(); }) {}
 
 DiskThread::~DiskThread() {
+  recovery_.Stop();
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     ending_ = true;
@@ -39,31 +39,41 @@
     if (!next_) return;
     const Batch batch = *std::exchange(next_, std::nullopt);
     lock.unlock();
-    WriteOutcome written = engine_->Write(batch);
-    const auto tell = [&] {
-      mailbox_->Post([this, id = batch.id, written] { on_written_(id, written); });
-    };
-    tell();
-    while (written == WriteOutcome::kUnknown) {
-      lock.lock();
-      if (changed_.wait_for(lock, kSettleEvery, [&] { return ending_; })) return;
-      lock.unlock();
-      written = engine_->ResolveUnknownWrite();
-      if (written != WriteOutcome::kUnknown) tell();
+    try {
+      WriteToTheEnd(batch);
+    } catch (const DataDamagedError& error) {
+      mailbox_->Post([this, line = std::string(error.what())] { on_damaged_(line); });
+      return;
     }
   }
 }
 
+void DiskThread::WriteToTheEnd(const Batch& batch) {
+  const auto tell = [&](WriteOutcome written) {
+    mailbox_->Post([this, id = batch.id, written] { on_written_(id, written); });
+  };
+  const WriteOutcome written = recovery_.Record(engine_->Write(batch));
+  tell(written);
+  if (written != WriteOutcome::kUnknown) return;
+  const WriteOutcome resolved = recovery_.ResolveUnknownWrite();
+  if (resolved != WriteOutcome::kUnknown) tell(resolved);
+}
+
 Service::Service(io::Loop* loop, Engine* engine, Limits limits, size_t max_connections)
     : loop_(loop),
       mailbox_(loop),
       machine_(limits, engine->Load(), io::Loop::Now()),
       server_(
           loop, [this](http::Message m) { return Handle(std::move(m)); }, max_connections),
-      disk_(engine, &mailbox_, [this](uint64_t batch, WriteOutcome written) {
-        machine_.OnWriteCompleted(io::Loop::Now(), batch, written);
-        Flush();
-      }) {}
+      disk_(
+          engine, &mailbox_,
+          [this](uint64_t batch, WriteOutcome written) {
+            machine_.OnWriteCompleted(io::Loop::Now(), batch, written);
+            Flush();
+          },
+          [this](const std::string& line) {
+            if (on_damaged_) on_damaged_(line);
+          }) {}
 
 Result<void> Service::Start(const std::string& addr) {
   if (auto started = server_.Start(addr); !started) return started;
--- a/src/store/service/service.h
+++ b/src/store/service/service.h
@@ -13,24 +13,29 @@
 #include "http/server.h"
 #include "io/mailbox.h"
 #include "store/disk/engine.h"
+#include "store/service/disk_recovery.h"
 #include "store/state_machine.h"
 
 namespace badgershore::store {
 
 // Writes batches off the loop's thread. Each is answered in the loop, once, or twice where the
-// first answer was kUnknown.
+// first answer was kUnknown; not at all where the disk turns out to be damaged, which is told
+// instead and ends the writing.
 class DiskThread {
  public:
   using OnWritten = std::function<void(uint64_t batch, WriteOutcome written)>;
-  DiskThread(Engine* engine, io::Mailbox* mailbox, OnWritten on_written);
+  DiskThread(Engine* engine, io::Mailbox* mailbox, OnWritten on_written, OnDataDamaged on_damaged);
   ~DiskThread();
   void Write(Batch batch);
 
  private:
   void Run();
+  void WriteToTheEnd(const Batch& batch);
   Engine* engine_;
   io::Mailbox* mailbox_;
   OnWritten on_written_;
+  OnDataDamaged on_damaged_;
+  DiskRecovery recovery_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::optional<Batch> next_;
@@ -46,6 +51,8 @@
   Service(io::Loop* loop, Engine* engine, Limits limits, size_t max_connections = 4096);
   // Listens for clients on `addr` (IPV4:PORT) and serves from then on.
   [[nodiscard]] Result<void> Start(const std::string& addr);
+  // Call it before Start.
+  void SetOnDataDamaged(OnDataDamaged on_damaged) { on_damaged_ = std::move(on_damaged); }
   std::string address() const { return server_.address(); }
   const StateMachine& machine() const { return machine_; }
 
@@ -62,6 +69,7 @@
   bool stalled_ = false;
   Micros timer_at_ = kNever;
   io::Slot<bool>* timer_ = nullptr;
+  OnDataDamaged on_damaged_;
   http::Server server_;
   DiskThread disk_;  // last: it ends first
 };
--- a/tests/replication_program_test.cpp
+++ b/tests/replication_program_test.cpp
@@ -6,9 +6,11 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <filesystem>
 #include <fstream>
 
+#include "failing_disk.h"
 #include "http/client.h"
 #include "io/loop.h"
 #include "site/process.h"
@@ -196,5 +198,92 @@
             2);
 }
 
+// Replica 1 has a disk that can fail.
+class ReplicasWithAFailingDisk : public Replicas {
+ protected:
+  ReplicasWithAFailingDisk() : disk_(Data(kFailing), root_ + "/fault") {}
+  void StartAllWithOne() {
+    for (size_t i = 0; i < 3; ++i) {
+      Init(i);
+      if (i == kFailing) disk_.Begin();
+      Start(i);
+      disk_.End();
+    }
+  }
+  // Its exit code, within 10 s; -1: it goes on, or was ended by a signal.
+  int ExitCodeOfFailing() {
+    for (int tries = 0; tries < 100; ++tries) {
+      int status = 0;
+      if (waitpid(pids_[kFailing], &status, WNOHANG) == pids_[kFailing]) {
+        pids_[kFailing] = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+      }
+      usleep(100'000);
+    }
+    return -1;
+  }
+
+  static constexpr size_t kFailing = 1;
+  FailingDisk disk_;
+};
+
+// Guards against: acknowledged keys lost by one failing disk, and a disk that works again and whose
+// replica does not take part again.
+TEST_F(ReplicasWithAFailingDisk, LoseNothingAndUseItAgain) {
+  for (const int fault : {ENOSPC, EIO}) {
+    for (size_t i = 0; i < 3; ++i) {
+      Kill(i);
+      fs::remove_all(Data(i));
+    }
+    StartAllWithOne();
+    ASSERT_TRUE(Put(0, "a/1", "11"));
+    disk_.Fail(fault);
+    ASSERT_TRUE(Put(0, "a/2", "22"));
+    disk_.Heal();
+    ASSERT_TRUE(Put(0, "a/3", "33"));
+    Kill(2);  // from here on nothing is acknowledged without replica 1
+    ASSERT_TRUE(Put(0, "a/4", "44"));
+    Kill(0);
+    Kill(kFailing);
+    Start(kFailing);
+    Start(2);
+    EXPECT_EQ(Value(kFailing, "a/1"), "11");
+    EXPECT_EQ(Value(kFailing, "a/2"), "22");
+    EXPECT_EQ(Value(kFailing, "a/3"), "33");
+    EXPECT_EQ(Value(kFailing, "a/4"), "44");
+  }
+}
+
+// Guards against: a replica that can't be told to end while it waits for its disk.
+TEST_F(ReplicasWithAFailingDisk, EndIt) {
+  StartAllWithOne();
+  ASSERT_TRUE(Put(0, "a/1", "11"));
+  disk_.Fail(EIO);
+  ASSERT_TRUE(Put(0, "a/2", "22"));
+  ASSERT_TRUE(Put(0, "a/3", "33"));
+  ::kill(pids_[kFailing], SIGTERM);
+  EXPECT_EQ(ExitCodeOfFailing(), 0);
+}
+
+// Guards against: a replica that retries for ever what can't pass.
+TEST_F(ReplicasWithAFailingDisk, DamageEndsTheReplica) {
+  StartAllWithOne();
+  for (int i = 0; i < 5; ++i) ASSERT_TRUE(Put(0, "a/" + std::to_string(i), "1"));
+  disk_.Fail(EIO);
+  ASSERT_TRUE(Put(0, "b/1", "11"));
+  ASSERT_TRUE(Put(0, "b/2", "22"));
+  for (const auto& file : fs::directory_iterator(Data(kFailing))) {
+    if (file.path().extension() != ".log") continue;
+    std::fstream out(file.path(), std::ios::in | std::ios::out | std::ios::binary);
+    constexpr std::streamoff kInTheFirstRecord = 20;
+    out.seekp(kInTheFirstRecord);
+    out.put('\xff');
+  }
+  disk_.Heal();
+  constexpr int kDataDamaged = 3;  // docs/operations.md
+  EXPECT_EQ(ExitCodeOfFailing(), kDataDamaged);
+  ASSERT_TRUE(Put(0, "b/3", "33"));
+}
+
 }  // namespace
 }  // namespace badgershore
--- a/tests/state_program_test.cpp
+++ b/tests/state_program_test.cpp
@@ -1,4 +1,5 @@
 // badgershore-state as a process: killed, started again, refused, full, asked by many.
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <sys/wait.h>
@@ -162,14 +163,39 @@
             429);
 }
 
+// Standard error goes to a file, also that of programs started meanwhile.
+class CapturedErrors {
+ public:
+  explicit CapturedErrors(std::string file) : file_(std::move(file)), saved_(dup(STDERR_FILENO)) {
+    const int out = open(file_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(out, STDERR_FILENO);
+    close(out);
+  }
+  ~CapturedErrors() {
+    dup2(saved_, STDERR_FILENO);
+    close(saved_);
+  }
+  CapturedErrors(const CapturedErrors&) = delete;
+  CapturedErrors& operator=(const CapturedErrors&) = delete;
+
+ private:
+  std::string file_;
+  int saved_;
+};
+
 class StateProgramOnAFailingDisk : public StateProgram {
  protected:
   StateProgramOnAFailingDisk() : disk_(root_ + "/data", root_ + "/fault") {}
   void StartOnFailingDisk() {
+    const CapturedErrors errors(root_ + "/errors");
     disk_.Begin();
     Start();
     disk_.End();
   }
+  std::string Errors() const {
+    std::ifstream in(root_ + "/errors");
+    return std::string(std::istreambuf_iterator<char>(in), {});
+  }
   int Put(const std::string& key, int value) {
     return Status("POST", "/commit",
                   R"({"then":[{"put":")" + key + R"(","value":)" + std::to_string(value) + "}]}");
@@ -182,6 +208,18 @@
     }
     return -1;
   }
+  // The exit code, within 10 s; -1: it goes on.
+  int ExitCode() {
+    for (int tries = 0; tries < 100; ++tries) {
+      if (waitpid(pid_, &status_, WNOHANG) == pid_) {
+        pid_ = 0;
+        return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
+      }
+      usleep(100'000);
+    }
+    return -1;
+  }
+
   FailingDisk disk_;
 };
 
@@ -199,6 +237,7 @@
     disk_.Heal();
     const int accepted = PutUntilAccepted(10);
     ASSERT_GE(accepted, 10);
+    EXPECT_NE(Errors().find("the disk fails"), std::string::npos);
     Kill();
     Start();
     EXPECT_EQ(Status("GET", "/store/k/1"), 200);
@@ -208,5 +247,42 @@
   }
 }
 
+// Guards against: a process that can't be told to end while it waits for its disk.
+TEST_F(StateProgramOnAFailingDisk, EndsWhenItIsTold) {
+  StartOnFailingDisk();
+  ASSERT_EQ(Put("k/1", 1), 200);
+  disk_.Fail(EIO);
+  EXPECT_NE(Put("k/2", 2), 200);
+  kill(pid_, SIGTERM);
+  EXPECT_EQ(ExitCode(), 0);
+}
+
+// Guards against: retrying for ever, without a word, what can't pass.
+TEST_F(StateProgramOnAFailingDisk, DamageFoundWhileItServesEndsIt) {
+  StartOnFailingDisk();
+  for (int i = 1; i <= 5; ++i) ASSERT_EQ(Put("k/" + std::to_string(i), i), 200);
+  disk_.Fail(EIO);
+  EXPECT_NE(Put("k/6", 6), 200);
+  std::string log;
+  for (const auto& file : fs::directory_iterator(root_ + "/data")) {
+    if (file.path().extension() == ".log") log = file.path().string();
+  }
+  std::fstream out(log, std::ios::in | std::ios::out | std::ios::binary);
+  constexpr std::streamoff kInTheFirstRecord = 20;
+  out.seekg(kInTheFirstRecord);
+  const char byte = static_cast<char>(out.get() ^ 1);
+  out.seekp(kInTheFirstRecord);
+  out.put(byte);
+  out.close();
+  disk_.Heal();
+  constexpr int kDataDamaged = 3;  // docs/operations.md
+  EXPECT_EQ(ExitCode(), kDataDamaged);
+  const std::string line = log + ": byte 0: damaged; restore a snapshot";
+  EXPECT_NE(Errors().find(line), std::string::npos) << Errors();
+  std::string said;
+  EXPECT_EQ(Run("serve --listen 127.0.0.1:0 --data " + root_ + "/data", &said), kDataDamaged);
+  EXPECT_EQ(said, "badgershore-state: " + line + "\n");
+}
+
 }  // namespace
 }  // namespace badgershore
--- a/tests/store_disk_failure_test.cpp
+++ b/tests/store_disk_failure_test.cpp
@@ -15,6 +15,7 @@
 #include "store/disk/engine.h"
 #include "store/disk/log_check.h"
 #include "store/disk/rows.h"
+#include "store/disk_retry.h"
 
 namespace badgershore::store {
 namespace {
@@ -23,6 +24,7 @@
 
 constexpr auto kRecoveryDeadline = std::chrono::seconds(30);
 constexpr int kNotes = 3;
+constexpr int kMostRetries = 200;
 
 // Sees the storage library recover from a failed write on a thread of its own.
 class RecoveryObserver : public rocksdb::EventListener {
@@ -267,5 +269,156 @@
                            ": damaged; restore a snapshot");
 }
 
+// Writes until it is known what became of the batch.
+WriteOutcome WriteToTheEnd(Engine* engine, const Batch& batch) {
+  WriteOutcome written = engine->Write(batch);
+  for (int i = 0; i < kMostRetries && written == WriteOutcome::kUnknown; ++i) {
+    written = engine->ResolveUnknownWrite();
+  }
+  return written;
+}
+
+// Guards against: an acknowledged write lost, an outcome that the next start contradicts and a
+// disk that works again and is not used, whichever change to the disk fails, and twice in a row.
+TEST_F(FailingDisk, AnyChangeMayFailAndNothingIsLost) {
+  for (const DiskFault fault : {DiskFault::kNoSpace, DiskFault::kIoError}) {
+    for (const int count : {1, 2, 5, 40}) {
+      for (int first = 1; first <= 24; ++first) {
+        SCOPED_TRACE(testing::Message() << "fault " << static_cast<int>(fault) << ", changes "
+                                        << first << " to " << first + count - 1);
+        fs::remove_all(dir_);
+        uint64_t last = 0;
+        bool again = false;
+        {
+          Engine engine(dir_, Engine::OpenMode::kReadWrite, options_);
+          plan_.Fail(fault, first, count);
+          for (int tries = 0; tries < kMostRetries && last < 12; ++tries) {
+            const WriteOutcome written = WriteToTheEnd(&engine, NumberedBatch(last + 1));
+            ASSERT_NE(written, WriteOutcome::kUnknown);
+            if (written == WriteOutcome::kDurable) ++last;
+            if (plan_.failures() > 0 && written == WriteOutcome::kDurable && !again) {
+              again = true;
+              plan_.Fail(fault, 1, count);
+            }
+          }
+          ASSERT_EQ(last, 12u);
+        }
+        plan_.Heal();
+        Engine engine(dir_, Engine::OpenMode::kReadWrite, options_);
+        ASSERT_EQ(engine.Load(), ImageAfter(last));
+      }
+    }
+  }
+}
+
+// Guards against: a failure while the database is opened that leaves what does not open again.
+TEST_F(FailingDisk, OpeningMayFailAtAnyChange) {
+  for (const DiskFault fault : {DiskFault::kNoSpace, DiskFault::kIoError}) {
+    for (const int count : {1, 2, 5, 40}) {
+      for (int first = 1; first <= 24; ++first) {
+        SCOPED_TRACE(testing::Message() << "fault " << static_cast<int>(fault) << ", changes "
+                                        << first << " to " << first + count - 1);
+        fs::remove_all(dir_);
+        WriteBatches(1, 5);
+        plan_.Fail(fault, first, count);
+        bool opened = false;
+        for (int tries = 0; tries < kMostRetries && !opened; ++tries) {
+          try {
+            Engine engine(dir_, Engine::OpenMode::kReadWrite, options_);
+            opened = true;
+          } catch (const DiskError& error) {
+            ASSERT_FALSE(dynamic_cast<const DataDamagedError*>(&error)) << error.what();
+          }
+        }
+        ASSERT_TRUE(opened);
+        plan_.Heal();
+        Engine engine(dir_, Engine::OpenMode::kReadWrite, options_);
+        ASSERT_EQ(engine.Load(), ImageAfter(5));
+      }
+    }
+  }
+}
+
+// Guards against: the same while a table is written beside the service's writes.
+TEST_F(FailingDisk, ATablesWriteMayFail) {
+  constexpr size_t kValueBytes = 1 << 20;
+  constexpr uint64_t kBatches = 24;  // more than a write buffer
+  for (const int count : {1, 40}) {
+    fs::remove_all(dir_);
+    {
+      Engine engine(dir_, Engine::OpenMode::kReadWrite, options_);
+      plan_.Fail(DiskFault::kNoSpace, 1, count,
+                 [](DiskOperation, const std::string& path) { return path.ends_with(".sst"); });
+      uint64_t last = 0;
+      for (int tries = 0; tries < kMostRetries && last < kBatches; ++tries) {
+        const WriteOutcome written = WriteToTheEnd(&engine, NumberedBatch(last + 1, kValueBytes));
+        ASSERT_NE(written, WriteOutcome::kUnknown);
+        if (written == WriteOutcome::kDurable) ++last;
+      }
+      ASSERT_EQ(last, kBatches);
+    }
+    EXPECT_GT(plan_.failures(), 0);
+    plan_.Heal();
+    Engine engine(dir_, Engine::OpenMode::kReadWrite, options_);
+    ASSERT_EQ(engine.Load(), ImageAfter(kBatches, kValueBytes));
+  }
+}
+
+// Guards against: one batch's outcome told for the next, which was never written.
+TEST_F(FailingDisk, NothingIsWrittenBeforeAnUnknownWriteIsResolved) {
+  Engine engine(dir_, Engine::OpenMode::kReadWrite, options_);
+  for (uint64_t number = 1; number <= 3; ++number) {
+    ASSERT_EQ(engine.Write(NumberedBatch(number)), WriteOutcome::kDurable);
+  }
+  constexpr int kTheSync = 2;  // the append before it succeeds
+  plan_.Fail(DiskFault::kIoError, kTheSync, 1000);
+  ASSERT_EQ(engine.Write(NumberedBatch(4)), WriteOutcome::kUnknown);
+  EXPECT_EQ(engine.Write(NumberedBatch(5)), WriteOutcome::kAbsent);
+  plan_.Heal();
+  EXPECT_EQ(engine.ResolveUnknownWrite(), WriteOutcome::kDurable);
+  EXPECT_EQ(engine.Load(), ImageAfter(4));
+}
+
+// Guards against: a service that goes on with less than it has acknowledged.
+TEST_F(FailingDisk, AcknowledgedWritesThatAreGoneAreDamage) {
+  Engine engine(dir_, Engine::OpenMode::kReadWrite, options_);
+  for (uint64_t number = 1; number <= 5; ++number) {
+    ASSERT_EQ(engine.Write(NumberedBatch(number)), WriteOutcome::kDurable);
+  }
+  plan_.Fail(DiskFault::kIoError, 1, 1000);
+  ASSERT_EQ(engine.Write(NumberedBatch(6)), WriteOutcome::kUnknown);
+  fs::remove_all(dir_);
+  plan_.Heal();
+  try {
+    engine.ResolveUnknownWrite();
+    FAIL() << "it goes on";
+  } catch (const DataDamagedError& error) {
+    EXPECT_EQ(error.what(), dir_ + ": 5 acknowledged writes are missing; restore a snapshot");
+  }
+}
+
+// Guards against: a failing disk that is asked without a pause, rarely, or without a word.
+TEST(DiskRetry, WaitsLongerAndIsSaidAtIntervals) {
+  DiskRetry retry;
+  EXPECT_FALSE(retry.OnSuccess(Seconds(1)));
+  Micros now = Seconds(10);
+  int lines = 0;
+  Micros delay;
+  while (now < Seconds(100)) {
+    const DiskRetry::Decision decision = retry.OnFailure(now);
+    EXPECT_GE(decision.delay, delay);
+    EXPECT_GT(decision.delay, Micros{});
+    EXPECT_LE(decision.delay, Seconds(2));
+    EXPECT_EQ(decision.failing_for, now - Seconds(10));
+    lines += decision.log ? 1 : 0;
+    delay = decision.delay;
+    now += delay;
+  }
+  EXPECT_GE(lines, 3);
+  EXPECT_LE(lines, 4);
+  EXPECT_EQ(retry.OnSuccess(now), now - Seconds(10));
+  EXPECT_TRUE(retry.OnFailure(now).log);
+}
+
 }  // namespace
 }  // namespace badgershore::store
