--- a/src/store/disk/archive.cpp
+++ b/src/store/disk/archive.cpp
@@ -6,7 +6,9 @@
 #include <openssl/evp.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdio>
+#include <cstring>
 #include <filesystem>
 #include <map>
 
@@ -20,11 +22,15 @@
 constexpr size_t kPieceBytes = 1 << 20;
 constexpr size_t kMostEntryBytes = 64 << 20;
 
+// A DiskError where the disk does not take it.
 void SyncPath(const std::string& path, int flags) {
   const int fd = ::open(path.c_str(), flags | O_CLOEXEC);
-  if (fd < 0) return;
-  (void)!::fsync(fd);
-  ::close(fd);
+  const bool synced = fd >= 0 && ::fsync(fd) == 0;
+  const int error = errno;
+  if (fd >= 0) ::close(fd);
+  // EINVAL: a file system that does not sync directories.
+  if (synced || (fd >= 0 && error == EINVAL)) return;
+  throw DiskError(path + ": can't be synced: " + std::strerror(error));
 }
 
 std::string Partial(const std::string& file) { return file + ".partial"; }
@@ -88,8 +94,8 @@
 void ArchiveWriter::Finish() {
   Entry(kSums, sums_);
   if (archive_write_close(archive_) != ARCHIVE_OK) Fail("closing");
-  archive_write_free(std::exchange(archive_, nullptr));
   SyncPath(Partial(file_), O_RDONLY);
+  archive_write_free(std::exchange(archive_, nullptr));
   std::error_code error;
   std::filesystem::rename(Partial(file_), file_, error);
   if (error) throw DiskError(file_ + ": " + error.message());
--- a/tests/failing_disk.cpp
+++ b/tests/failing_disk.cpp
@@ -21,17 +21,20 @@
 
 using Open = int (*)(const char*, int, ...);
 
-// The error that changes fail with now; 0: none.
-int CurrentFault() {
+// The error that `call` fails with now; 0: none.
+int CurrentFault(const char* call) {
   static const char* control = getenv("FAILING_DISK_CONTROL");
   if (!control) return 0;
   static const Open open_file = Next<Open>("open");
   const int file = open_file(control, O_RDONLY | O_CLOEXEC);
   if (file < 0) return 0;
-  char text[16] = "";
+  char text[64] = "";
   const ssize_t size = read(file, text, sizeof(text) - 1);
   close(file);
-  return size > 0 ? atoi(text) : 0;
+  int error = 0;
+  char only[32] = "";
+  if (size <= 0 || sscanf(text, "%d %31s", &error, only) < 1) return 0;
+  return only[0] == '\0' || strcmp(only, call) == 0 ? error : 0;
 }
 
 bool IsBelow(const char* path) {
@@ -49,9 +52,9 @@
 }
 
 template <typename Target>
-bool Fails(Target target) {
+bool Fails(const char* call, Target target) {
   const int saved = errno;
-  const int fault = IsBelow(target) ? CurrentFault() : 0;
+  const int fault = IsBelow(target) ? CurrentFault(call) : 0;
   errno = fault != 0 ? fault : saved;
   return fault != 0;
 }
@@ -62,7 +65,7 @@
 
 ssize_t write(int file, const void* data, size_t size) {
   static const auto next = Next<ssize_t (*)(int, const void*, size_t)>("write");
-  if (!Fails(file)) return next(file, data, size);
+  if (!Fails("write", file)) return next(file, data, size);
   const int fault = errno;
   if (size > 1) (void)!next(file, data, size / 2);
   errno = fault;
@@ -71,7 +74,7 @@
 
 ssize_t pwrite(int file, const void* data, size_t size, off_t at) {
   static const auto next = Next<ssize_t (*)(int, const void*, size_t, off_t)>("pwrite");
-  if (!Fails(file)) return next(file, data, size, at);
+  if (!Fails("pwrite", file)) return next(file, data, size, at);
   const int fault = errno;
   if (size > 1) (void)!next(file, data, size / 2, at);
   errno = fault;
@@ -80,22 +83,22 @@
 
 int fsync(int file) {
   static const auto next = Next<int (*)(int)>("fsync");
-  return Fails(file) ? -1 : next(file);
+  return Fails("fsync", file) ? -1 : next(file);
 }
 
 int fdatasync(int file) {
   static const auto next = Next<int (*)(int)>("fdatasync");
-  return Fails(file) ? -1 : next(file);
+  return Fails("fdatasync", file) ? -1 : next(file);
 }
 
 int ftruncate(int file, off_t size) {
   static const auto next = Next<int (*)(int, off_t)>("ftruncate");
-  return Fails(file) ? -1 : next(file, size);
+  return Fails("ftruncate", file) ? -1 : next(file, size);
 }
 
 int rename(const char* from, const char* to) {
   static const auto next = Next<int (*)(const char*, const char*)>("rename");
-  return Fails(to) ? -1 : next(from, to);
+  return Fails("rename", to) ? -1 : next(from, to);
 }
 
 int open(const char* path, int flags, ...) {
@@ -104,7 +107,7 @@
   va_start(rest, flags);
   const mode_t mode = (flags & O_CREAT) != 0 ? va_arg(rest, mode_t) : 0;
   va_end(rest);
-  return (flags & O_CREAT) != 0 && Fails(path) ? -1 : next(path, flags, mode);
+  return (flags & O_CREAT) != 0 && Fails("open", path) ? -1 : next(path, flags, mode);
 }
 
 }  // extern "C"
--- a/tests/failing_disk.h
+++ b/tests/failing_disk.h
@@ -33,10 +33,10 @@
     unsetenv("LD_PRELOAD");
     setenv("ASAN_OPTIONS", asan_options_.c_str(), 1);
   }
-  // Every change fails with `error` (errno) from now on.
-  void Fail(int error) {
+  // Every change fails with `error` (errno) from now on; or only those by `call`, as "fsync".
+  void Fail(int error, const std::string& call = "") {
     const std::string beside = control_ + ".new";
-    std::ofstream(beside) << error;
+    std::ofstream(beside) << error << ' ' << call;
     std::filesystem::rename(beside, control_);
   }
   void Heal() { std::filesystem::remove(control_); }
--- a/tests/state_program_test.cpp
+++ b/tests/state_program_test.cpp
@@ -284,5 +284,22 @@
   EXPECT_EQ(said, "badgershore-state: " + line + "\n");
 }
 
+// Guards against: a snapshot under its own name that a loss of power would take back.
+TEST_F(StateProgramOnAFailingDisk, ASnapshotThatCannotBeSyncedIsNone) {
+  Start();
+  ASSERT_EQ(Put("k/1", 1), 200);
+  Kill();
+  FailingDisk disk(root_ + "/snapshots", root_ + "/fault");
+  fs::create_directory(root_ + "/snapshots");
+  const std::string file = root_ + "/snapshots/s.tar.zst";
+  disk.Fail(EIO, "fsync");
+  disk.Begin();
+  std::string said;
+  EXPECT_EQ(Run("snapshot --data " + root_ + "/data --out " + file, &said), 1);
+  disk.End();
+  EXPECT_EQ(said, "badgershore-state: " + file + ".partial: can't be synced: Input/output error\n");
+  EXPECT_FALSE(fs::exists(file));
+}
+
 }  // namespace
 }  // namespace badgershore
