A read-only opening that finds damage gives back the library's database

What callers would see: nothing in the programs, which end then; a process that opens a damaged directory to read again and again leaks a database each time. Found by the leak check of the sanitizers under AReadOnlyOpeningFindsDamageToo.

--- a/src/store/disk/engine.cpp
+++ b/src/store/disk/engine.cpp
@@ -139,9 +139,11 @@
     if (status.ok() || !(status.IsIOError() || status.IsPathNotFound())) break;
     ::usleep(kReadOnlyRetryDelayUs);
   }
+  std::unique_ptr<rocksdb::DB> opened(*db);
   // The library takes a record that seems to reach past the end of a log for one being written; and
   // where it refuses, this names the damaged file.
   CheckLogs(dir_, [this] { return OldestNeededLog(); });
+  *db = opened.release();
   return status;
 }
 
