Report a job as cancelled only once no leader can start its tasks

Cause: the answer rested on the durable record alone. A leader that can't read it goes on until its lease or its knowledge of the job records expires; its starts in the case end with its lease, as designed, but the answer didn't wait for that.

Change: CancellationFence is the one place that says when a recorded cancellation holds for every process that can start the job's tasks: the leader's confirmation within its lease, a later change of the leader key, or two leases since the record was known. JobApi asks it before every answer that says cancelled: first, repeated, polls, repeated submissions, at any controller. Starts that were decided earlier are asked again as they leave the process (Controller::MaySend). A leader that has confirmed a cancellation ignores older states of the record.

Peers: PeerStatus has one more trailing field, which earlier versions don't read and which is absent when empty; the confirmation is a frame of its own, sent only to a controller that has asked for it.

Tests: PeerStatusRoundTripAndMalformedFrames cut the frame in half, which no longer falls into the fields of the first version; it now cuts one byte before their end, which is stricter.

--- a/src/adapters/controller_server.cpp
+++ b/src/adapters/controller_server.cpp
@@ -29,8 +29,8 @@
   return effects.log.empty() && effects.heartbeat_responses.empty() &&
          effects.api_responses.empty() && effects.peer_statuses.empty() &&
          effects.membership_messages.empty() && effects.cell_deliveries.empty() &&
-         effects.state_requests.empty() && effects.cloud_requests.empty() &&
-         effects.command_requests.empty();
+         effects.cancellation_confirmations.empty() && effects.state_requests.empty() &&
+         effects.cloud_requests.empty() && effects.command_requests.empty();
 }
 
 void WriteLog(const std::vector<LogLine>& lines) {
@@ -83,6 +83,11 @@
                   [this](const membership::Message& message) {
                     core_.OnMembershipMessage(io::Loop::Now(), message);
                     ApplyEffects();
+                  },
+              .on_cancellation_confirmation =
+                  [this](const CancellationConfirmation& confirmation) {
+                    core_.OnCancellationConfirmation(io::Loop::Now(), confirmation);
+                    ApplyEffects();
                   }}),
       server_(
           loop, [this](http::Message request) { return Handle(std::move(request)); },
@@ -155,6 +160,9 @@
   for (const PeerStatus& status : effects.peer_statuses) peers_.Send(status);
   for (const membership::Message& message : effects.membership_messages) peers_.Send(message);
   for (const CellDelivery& delivery : effects.cell_deliveries) peers_.Send(delivery);
+  for (const CancellationConfirmation& confirmation : effects.cancellation_confirmations) {
+    peers_.Send(confirmation);
+  }
 }
 
 void ControllerServer::StartRequests(Effects* effects) {
@@ -219,6 +227,7 @@
 
 http::ServerResponse ControllerServer::HandleMetrics() {
   metrics_.state = state_.traffic();
+  metrics_.unconfirmed_cancellations = core_.unconfirmed_cancellations();
   std::optional<LeaderGauges> leader;
   if (core_.leader()) leader = core_.leader()->Gauges(io::Loop::Now());
   return {200, metrics_.Format(leader, loop_->TakeLongestTurn()), 0};
@@ -270,7 +279,9 @@
   std::optional<HeartbeatResponse> response = co_await slot.Wait(now + kHeartbeatTimeout);
   pending_heartbeats_.erase(request_id);
   if (!response) co_return ErrorResponse(503, "no answer in time");
-  if (io::Loop::Now() >= response->valid_until) co_return ErrorResponse(503, "the lease has ended");
+  if (!core_.MaySend(io::Loop::Now(), *response)) {
+    co_return ErrorResponse(503, "the starts are not allowed any more");
+  }
   std::string body = wire::FormatHeartbeatResponse(*response);
   metrics_.heartbeat_response_bytes += body.size();
   co_return http::ServerResponse{response->status, std::move(body), 0};
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -19,8 +19,9 @@
   uint64_t command_requests = 0;
   uint64_t user_requests = 0;
   uint64_t cloud_calls = 0;
-  http::Traffic state;                   // requests to the state service, including watches
-  stats::Durations user_response_times;  // response times to users since the last log line
+  uint64_t unconfirmed_cancellations = 0;  // recorded, but their users have not been told yet
+  http::Traffic state;                     // requests to the state service, including watches
+  stats::Durations user_response_times;    // response times to users since the last log line
 
   // Formats the counters, the gauges of the leader (if this controller leads) and the loop's
   // longest turn.
--- a/src/check/cancel_model.cpp
+++ b/src/check/cancel_model.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "check/small_state.h"
+#include "core/election/cancellation_fence.h"
 #include "core/election/leader_authority.h"
 
 namespace badgershore::check {
@@ -31,7 +32,9 @@
     std::unique_ptr<LeaderAuthority> authority;
     std::vector<Watch> watches;
     bool won = false, lost = false, job_exists = false;
-    bool state_refuses = false, withholds_responses = false;
+    bool state_refuses = false, withholds_responses = false, paused = false;
+    bool cut_from_recorder = false;
+    bool cancellation_applied = false;     // on the word of the controller that recorded it
     Micros last_response_at{-1000000000};  // when the last list or watch response arrived
   };
 
@@ -42,6 +45,9 @@
     ++state.revision;
     state.Put(kJobKey, spec);
     for (size_t i = 0; i < nodes.size(); ++i) StartNode(i);
+    StartNode(&recorder, kRecorder);
+    recorder.election->HandOver(now, "");  // never a candidate
+    fence = std::make_unique<CancellationFence>(recorder.election.get(), kLease);
     // Elects a leader, to which the agent sends heartbeats and which starts the task.
     for (int i = 0; i < 4; ++i) Apply("second");
     seconds = 0;
@@ -50,12 +56,18 @@
   }
 
   Micros Clock(size_t i) const { return i == 0 ? now.Scaled(kSlowClockRate) : now; }
+  // The recorder's clock is the fast one: it waits for the least time.
+  Micros RecorderClock() const { return now.Scaled(kFastClockRate); }
   Micros AgentClock() const { return now.Scaled(1 / kFastClockRate); }
 
-  void StartNode(size_t i) {
-    Node& n = nodes[i];
+  void StartNode(size_t i) { StartNode(&nodes[i], i); }
+
+  void StartNode(Node* node, size_t i) {
+    Node& n = *node;
     const bool state_refuses = n.state_refuses, withholds_responses = n.withholds_responses;
+    const bool cut_from_recorder = n.cut_from_recorder;
     n = Node();
+    n.cut_from_recorder = cut_from_recorder;
     n.state_refuses = state_refuses;
     n.withholds_responses = withholds_responses;
     n.outbox = std::make_unique<Outbox>();
@@ -74,22 +86,25 @@
     if (std::exchange(n->lost, false)) {
       n->authority.reset();
       n->jobs.reset();
-      n->job_exists = false;
+      n->job_exists = n->cancellation_applied = false;
     }
     if (!std::exchange(n->won, false)) return;
     n->jobs = std::make_unique<KeyRangeCache>(
-        n->outbox.get(), keys::kJob, [n](Micros, const Entry& e) { n->job_exists = !e.deleted; },
+        n->outbox.get(), keys::kJob,
+        [n](Micros, const Entry& e) { n->job_exists = !e.deleted && !n->cancellation_applied; },
         [](Micros) {}, kWatchTimeout);
     n->authority = std::make_unique<LeaderAuthority>(n->election.get(), n->jobs.get(),
                                                      kCancelDeadline, kAgentLease, kLease);
   }
 
-  void ExecuteRequests(size_t i) {
-    Node& n = nodes[i];
+  void ExecuteRequests(size_t i) { ExecuteRequests(&nodes[i], i, Clock(i)); }
+
+  void ExecuteRequests(Node* node, size_t i, Micros clock) {
+    Node& n = *node;
     const bool served = !state_down && !n.state_refuses;
     for (int round = 0; round < 8; ++round) {
       UpdateLeaderState(&n);
-      if (n.jobs) n.jobs->Tick(Clock(i));
+      if (n.jobs) n.jobs->Tick(clock);
       std::vector<StateRequest> ops = std::exchange(n.outbox->effects.state_requests, {});
       if (ops.empty()) break;
       for (StateRequest& op : ops) {
@@ -103,8 +118,8 @@
             n.withholds_responses && op.kind == StateRequest::Kind::kList && op.key == keys::kJob;
         if (served && !list_lost) r = state.Execute(now, i, op);
         if (r.ok() && op.kind == StateRequest::Kind::kList && op.key == keys::kJob)
-          n.last_response_at = Clock(i);
-        n.outbox->Deliver(Clock(i), op.id, r);
+          n.last_response_at = clock;
+        n.outbox->Deliver(clock, op.id, r);
       }
     }
     for (Watch& w : std::exchange(n.watches, {})) {
@@ -114,11 +129,11 @@
       }
       const bool watches_jobs = w.op.key == keys::kJob;
       if (w.response && !(n.withholds_responses && watches_jobs)) {
-        if (watches_jobs) n.last_response_at = Clock(i);
-        n.outbox->Deliver(Clock(i), w.op.id, *w.response);
+        if (watches_jobs) n.last_response_at = clock;
+        n.outbox->Deliver(clock, w.op.id, *w.response);
       } else if (now - w.sent > w.op.duration + kResponseTimeout) {
         StateResponse none;
-        n.outbox->Deliver(Clock(i), w.op.id, none);
+        n.outbox->Deliver(clock, w.op.id, none);
       } else {
         n.watches.push_back(std::move(w));
       }
@@ -143,8 +158,24 @@
     return n.jobs->synced() && n.authority->MayAnswerHeartbeats(Clock(i));
   }
 
+  // The recorder asks the leader, and tells the user once the fence allows it.
+  void ConfirmCancellation() {
+    if (!plan.confirmations || cancelled_at < Micros{}) return;
+    for (size_t i = 0; i < nodes.size(); ++i) {
+      Node& n = nodes[i];
+      if (n.cut_from_recorder || n.paused || !n.election->leads() || !n.authority) continue;
+      n.job_exists = false;
+      n.cancellation_applied = true;
+      if (n.election->MayStart(Clock(i)) || plan.fault == AuthorityFault::kConfirmPastLease)
+        fence->OnLeaderConfirmed("job-1");
+    }
+    told = told || plan.fault == AuthorityFault::kReportWhenRecorded ||
+           fence->Check(RecorderClock(), "job-1") != CancellationFence::Basis::kNone;
+  }
+
   void SendHeartbeat() {
     const Node& n = nodes[agent_node];
+    if (n.paused) return;
     if (!n.election->leads() || !n.authority || !MayAnswerHeartbeats(agent_node)) return;
     const uint64_t term = n.election->term();
     if (term < fencing_token) return;
@@ -157,7 +188,9 @@
     if (!task_running && !first_response && n.job_exists &&
         n.authority->MayStart(Clock(agent_node))) {
       task_running = true;
-      if (cancelled_at >= Micros{} && now - cancelled_at > kCancelDeadline) violation = "starts";
+      if (cancelled_at >= Micros{} && now - cancelled_at > kCancelDeadline)
+        violation = "starts after the deadline";
+      if (plan.confirmations && told) violation = "starts after its user was told";
     }
   }
 
@@ -165,15 +198,19 @@
     now += kTick;
     if (!state_down) state.ExpireLeases(now);
     for (size_t i = 0; i < nodes.size(); ++i) {
+      if (nodes[i].paused) continue;
       nodes[i].election->Tick(Clock(i));
       ExecuteRequests(i);
     }
+    recorder.election->Tick(RecorderClock());
+    ExecuteRequests(&recorder, kRecorder, RecorderClock());
+    ConfirmCancellation();
     if (AgentClock() >= lease_end) {  // the agent kills all tasks and starts a new epoch
       task_running = false;
       lease_end = AgentClock() + kAgentLease;
     }
     if (task_running && cancelled_at >= Micros{} && now - cancelled_at > kCancelDeadline)
-      violation = "is running";
+      violation = "is running after the deadline";
   }
 
   void Apply(const std::string& event) override {
@@ -186,6 +223,12 @@
       ++state.revision;
       state.Erase(kJobKey);
       cancelled_at = now;
+      fence->Add(RecorderClock(), "job-1", state.revision);
+      return ConfirmCancellation();
+    }
+    if (event == "exits") {
+      task_running = false;
+      exited = true;
       return;
     }
     ++faults;
@@ -199,6 +242,12 @@
       nodes[i].state_refuses = !nodes[i].state_refuses;
     } else if (event.starts_with("hang")) {
       nodes[i].withholds_responses = !nodes[i].withholds_responses;
+    } else if (event.starts_with("pause")) {
+      nodes[i].paused = !nodes[i].paused;
+      // A message that waited is handled before the process finds that it no longer leads.
+      if (!nodes[i].paused) ConfirmCancellation();
+    } else if (event.starts_with("cut")) {
+      nodes[i].cut_from_recorder = !nodes[i].cut_from_recorder;
     } else if (event == "moves") {
       agent_node = 1 - agent_node;
     } else {
@@ -210,9 +259,11 @@
     std::vector<std::string> out;
     if (seconds < plan.seconds) out.emplace_back("second");
     if (cancelled_at < Micros{} && !state_down) out.emplace_back("cancel");
+    if (plan.confirmations && task_running && !exited) out.emplace_back("exits");
     if (faults >= plan.faults) return out;
     out.insert(out.end(),
                {"outage", "moves", "refuse a", "refuse b", "hang a", "hang b", "ends a", "ends b"});
+    if (plan.confirmations) out.insert(out.end(), {"cut a", "cut b", "pause a", "pause b"});
     return out;
   }
   std::string Key() const override {
@@ -220,12 +271,15 @@
     std::string key = std::to_string(seconds) + ' ' + std::to_string(faults) + ' ' +
                       std::to_string(agent_node) + std::to_string(state_down) +
                       std::to_string(task_running) + ' ' + std::to_string(fencing_token) + ' ' +
-                      until(lease_end) + until(cancelled_at) + std::to_string(state.revision);
+                      until(lease_end) + until(cancelled_at) + std::to_string(state.revision) +
+                      std::to_string(told) + std::to_string(exited);
     for (const auto& [lease, end] : state.leases) key += std::to_string(lease) + until(end);
     for (size_t i = 0; i < nodes.size(); ++i) {
       const Node& n = nodes[i];
       key += '|' + n.election->Fingerprint(Clock(i)) + std::to_string(n.state_refuses) +
-             std::to_string(n.withholds_responses) + std::to_string(n.job_exists);
+             std::to_string(n.withholds_responses) + std::to_string(n.job_exists) +
+             std::to_string(n.paused) + std::to_string(n.cut_from_recorder) +
+             std::to_string(n.cancellation_applied);
       if (n.jobs) {
         key += std::to_string(n.jobs->synced()) + until(n.jobs->known_as_of()) +
                until(n.last_response_at);
@@ -235,20 +289,30 @@
         key += 'w' + std::to_string(w.op.revision) + until(w.sent) + (w.response ? "h" : "");
       }
     }
+    // The recorder behaves the same whenever its view of the leader key and the fence are the same.
+    key +=
+        '|' + std::to_string(recorder.election->leader_changed_at()) + ' ' +
+        std::to_string(fence->Check(RecorderClock(), "job-1") != CancellationFence::Basis::kNone);
+    for (const Watch& w : recorder.watches)
+      key += 'w' + std::to_string(w.op.revision) + until(w.sent);
     return key;
   }
   std::string Violation() const override {
-    return violation.empty() ? ""
-                             : "a task of the cancelled job " + violation + " after the deadline";
+    return violation.empty() ? "" : "a task of the cancelled job " + violation;
   }
 
  private:
   CancelPlan plan;
+  static constexpr size_t kRecorder = 2;
+
   std::array<Node, 2> nodes;
+  Node recorder;
+  std::unique_ptr<CancellationFence> fence;
   FakeStateService state;
   Micros now = Seconds(100);
   int seconds = 0, faults = 0;
-  bool state_down = false, task_running = false;
+  bool state_down = false, task_running = false, told = false;
+  bool exited = false;  // an attempt of the task has failed, so that it has to be started again
   size_t agent_node = 0;
   uint64_t fencing_token = 0;
   Micros lease_end = kNever, cancelled_at{-1};
--- a/src/core/api/job_api.cpp
+++ b/src/core/api/job_api.cpp
@@ -12,6 +12,9 @@
   return request;
 }
 
+// Confirmations that took longer are logged for the operators.
+constexpr Micros kSlowConfirmation = Millis(500);
+
 const JobEndRecord* EndRecordIn(const StateResponse& response) {
   if (!response.ok() || response.entries.empty()) return nullptr;
   return std::get_if<JobEndRecord>(&response.entries[0].value);
@@ -53,6 +56,39 @@
   return true;
 }
 
+void JobApi::AnswerCancelled(Micros now, RequestId request_id, const std::string& id,
+                             uint64_t revision) {
+  if (AnswerEnded(request_id, id)) return;
+  const bool added = fence_->Add(now, id, revision);
+  fenced_requests_[id].push_back(request_id);
+  if (added) callbacks_.on_cancellation_recorded(now, id);
+  AnswerIfFenced(now, id);
+}
+
+bool JobApi::AnswerIfFenced(Micros now, const std::string& id) {
+  const CancellationFence::Basis basis = fence_->Check(now, id);
+  if (basis == CancellationFence::Basis::kNone) return false;
+  const Micros age = fence_->Age(now, id);
+  if (age >= kSlowConfirmation) {
+    outbox_->Info("cancellation of " + id + " confirmed to its user after " +
+                  std::to_string(age.ToMillis()) + " ms: " + Name(basis));
+  }
+  fence_->Remove(id);
+  CacheEndRecord(id, JobEndRecord{true, 0});
+  auto requests = fenced_requests_.extract(id);
+  if (requests.empty()) return true;
+  for (const RequestId request_id : requests.mapped()) AnswerEnded(request_id, id);
+  return true;
+}
+
+void JobApi::AnswerFencedCancellations(Micros now) {
+  for (auto it = fenced_requests_.begin(); it != fenced_requests_.end();) {
+    const std::string id = it->first;
+    ++it;  // AnswerIfFenced erases the element
+    AnswerIfFenced(now, id);
+  }
+}
+
 void JobApi::AnswerLive(RequestId request_id, const std::string& id) {
   const JobStatus status = callbacks_.live_status(id);
   Answer(request_id, 200, id, status.running > 0 ? JobPhase::kRunning : JobPhase::kPending,
@@ -74,15 +110,20 @@
 
 void JobApi::ReadEndRecord(RequestId request_id, const std::string& id, int unknown_job_status,
                            const std::string& reason) {
-  outbox_->SendState(GetRequest(keys::kJobEnd + id), [=, this](Micros, StateResponse& response) {
-    if (response.outcome == StateResponse::Outcome::kNotFound) {
-      return Reject(request_id, unknown_job_status, id, reason);
-    }
-    const JobEndRecord* end = EndRecordIn(response);
-    if (!end) return Reject(request_id, 503, id, "the state service can't be read");
-    CacheEndRecord(id, *end);
-    AnswerEnded(request_id, id);
-  });
+  outbox_->SendState(GetRequest(keys::kJobEnd + id),
+                     [=, this](Micros now, StateResponse& response) {
+                       if (response.outcome == StateResponse::Outcome::kNotFound) {
+                         return Reject(request_id, unknown_job_status, id, reason);
+                       }
+                       const JobEndRecord* end = EndRecordIn(response);
+                       if (!end)
+                         return Reject(request_id, 503, id, "the state service can't be read");
+                       if (end->cancelled) {
+                         return AnswerCancelled(now, request_id, id, response.entries[0].version);
+                       }
+                       CacheEndRecord(id, *end);
+                       AnswerEnded(request_id, id);
+                     });
 }
 
 void JobApi::Submit(Micros now, RequestId request_id, Submission submission) {
@@ -146,9 +187,7 @@
   commit.mutations = {{keys::kJobEnd + id, false, end, 0}, {keys::kJob + id, true, {}, 0}};
   outbox_->SendState(commit, [=, this](Micros now, StateResponse& response) {
     if (response.ok()) {
-      CacheEndRecord(id, end);
-      AnswerEnded(request_id, id);
-      callbacks_.on_cancellation_recorded(now, id);
+      AnswerCancelled(now, request_id, id, response.revision);
     } else if (response.outcome == StateResponse::Outcome::kConflict && attempts > 1) {
       Cancel(request_id, id, attempts - 1);  // the job has ended or its record has changed
     } else {
--- a/src/core/api/job_api.h
+++ b/src/core/api/job_api.h
@@ -4,11 +4,14 @@
 #include <cstddef>
 #include <functional>
 #include <list>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "core/api/admission_control.h"
+#include "core/election/cancellation_fence.h"
 #include "core/outbox/outbox.h"
 
 namespace badgershore {
@@ -20,7 +23,9 @@
 };
 
 // Serves users on the leader and on followers alike: each response is based on a durable record or
-// on a fresh read. Responses are put into the outbox as ApiResponses with HTTP status codes.
+// on a fresh read. A job is reported as cancelled only once the CancellationFence says that no
+// process can start its tasks; requests wait for that. Responses are put into the outbox as
+// ApiResponses with HTTP status codes.
 class JobApi {
  public:
   struct Callbacks {
@@ -29,16 +34,21 @@
     std::function<bool()> types_known;
     // Called right before the job's cancellation is written to the state service.
     std::function<void(Micros, const std::string& job)> on_cancellation_pending;
+    // Called when a write or a read has shown that the job's cancellation is durable. The leader
+    // has to confirm it.
     std::function<void(Micros, const std::string& job)> on_cancellation_recorded;
     // Task counts of a live job, for display.
     std::function<JobStatus(const std::string& job)> live_status;
   };
-  JobApi(Outbox* outbox, Callbacks callbacks) : outbox_(outbox), callbacks_(std::move(callbacks)) {}
+  JobApi(Outbox* outbox, CancellationFence* fence, Callbacks callbacks)
+      : outbox_(outbox), fence_(fence), callbacks_(std::move(callbacks)) {}
 
   void Submit(Micros now, RequestId request_id, Submission submission);
   void Query(RequestId request_id, const std::string& id);
   // `attempts`: maximum number of writes while they fail with a conflict.
   void Cancel(RequestId request_id, const std::string& id, int attempts = 4);
+  // Answers the requests about cancelled jobs whose tasks no process can start any more.
+  void AnswerFencedCancellations(Micros now);
 
  private:
   using OnLiveJob = std::function<void(Micros, const StateResponse& job)>;
@@ -61,15 +71,21 @@
   bool AnswerEnded(RequestId request_id, const std::string& id);
   void AnswerLive(RequestId request_id, const std::string& id);
   void CacheEndRecord(const std::string& id, const JobEndRecord& end);
+  // The job was cancelled at `revision`. The request is answered once the fence allows it.
+  void AnswerCancelled(Micros now, RequestId request_id, const std::string& id, uint64_t revision);
+  bool AnswerIfFenced(Micros now, const std::string& id);
 
   static constexpr size_t kMaxCachedEnds = 4096;
 
   Outbox* outbox_;
+  CancellationFence* fence_;
   Callbacks callbacks_;
   AdmissionControl admission_control_;
   // Cached end records, which never change. The oldest are evicted.
   std::unordered_map<std::string, JobEndRecord> cached_ends_;
   std::list<std::string> cached_ends_order_;
+  // Requests about cancelled jobs, by job, that the fence does not yet allow to answer.
+  std::map<std::string, std::vector<RequestId>> fenced_requests_;
 };
 
 }  // namespace badgershore
--- a/src/core/controller/controller.cpp
+++ b/src/core/controller/controller.cpp
@@ -8,6 +8,8 @@
 constexpr Micros kHandoverWait = Millis(250);
 // A leader that stepped down for a peer with heartbeats is not a candidate again for this long.
 constexpr Micros kStepDownPause = Seconds(15);
+// Jobs in one status whose cancellations the leader is asked to confirm; the others follow.
+constexpr size_t kMaxUnconfirmedInStatus = 512;
 // How long after the state service's last response this controller still counts as healthy.
 constexpr Micros kHealthyFor = Seconds(3);
 
@@ -34,6 +36,7 @@
   };
   election_ = std::make_unique<Election>(&outbox_, settings_.member, position, options_.lease,
                                          std::move(callbacks));
+  fence_ = std::make_unique<CancellationFence>(election_.get(), options_.lease);
 }
 
 void Controller::CreateJobApi() {
@@ -51,7 +54,7 @@
   callbacks.live_status = [this](const std::string& job) {
     return leader_ ? leader_->Status(job) : peers_.StatusOf(job);
   };
-  job_api_ = std::make_unique<JobApi>(&outbox_, std::move(callbacks));
+  job_api_ = std::make_unique<JobApi>(&outbox_, fence_.get(), std::move(callbacks));
 }
 
 void Controller::OnElected(Micros now) {
@@ -117,7 +120,11 @@
   if (now < next_status_at_) return;
   next_status_at_ = now + kStatusInterval;
   PeerStatus status = OwnStatus(now);
-  if (leader_) status.job_statuses = leader_->Statuses();
+  if (leader_) {
+    status.job_statuses = leader_->Statuses();
+  } else {
+    status.unconfirmed = fence_->Jobs(kMaxUnconfirmedInStatus);
+  }
   outbox_.effects.peer_statuses.push_back(std::move(status));
 }
 
@@ -129,12 +136,38 @@
 }
 
 void Controller::OnCancellationRecorded(Micros now, const std::string& job) {
-  if (leader_) return leader_->EndCancelledJob(now, job);
+  if (leader_) return ConfirmOwnCancellations(now);
   PeerStatus status = OwnStatus(now);
   status.cancelled.push_back(job);
+  // Includes the earlier ones, since a status may be lost.
+  status.unconfirmed = fence_->Jobs(kMaxUnconfirmedInStatus);
   outbox_.effects.peer_statuses.push_back(std::move(status));
 }
 
+bool Controller::ApplyCancellations(Micros now, const std::vector<std::string>& jobs) {
+  for (const std::string& job : jobs) leader_->EndCancelledJob(now, job);
+  return election_->MayStart(now);
+}
+
+void Controller::ConfirmOwnCancellations(Micros now) {
+  const std::vector<std::string> jobs = fence_->Jobs(fence_->size());
+  if (!ApplyCancellations(now, jobs)) return;
+  for (const std::string& job : jobs) fence_->OnLeaderConfirmed(job);
+}
+
+void Controller::OnCancellationConfirmation(Micros now,
+                                            const CancellationConfirmation& confirmation) {
+  for (const std::string& job : confirmation.jobs) fence_->OnLeaderConfirmed(job);
+  job_api_->AnswerFencedCancellations(now);
+}
+
+bool Controller::MaySend(Micros now, const HeartbeatResponse& response) const {
+  if (now >= response.valid_until) return false;
+  if (!HasStarts(response.commands)) return true;
+  return leader_ && election_->MayStart(now) && response.fencing_token == election_->term() &&
+         leader_->MayStart(response.commands);
+}
+
 void Controller::Tick(Micros now, int64_t time_of_day_ms) {
   time_of_day_ms_ = time_of_day_ms;
   peers_.Tick(now, time_of_day_ms);
@@ -144,6 +177,8 @@
   if (leader_ && leader_->ReceivesNoHeartbeats(now)) StepDownForPeerWithHeartbeats(now);
   connectivity_.Tick(now);
   SendStatus(now);
+  if (leader_ && fence_->size() > 0) ConfirmOwnCancellations(now);
+  job_api_->AnswerFencedCancellations(now);
   if (shutting_down_) BeginHandover(now);
   previous_leader_.reset();
 }
@@ -229,6 +264,10 @@
   if (leader_) {
     for (const std::string& job : status.cancelling) leader_->MarkCancelPending(now, job);
     for (const std::string& job : status.cancelled) leader_->EndCancelledJob(now, job);
+    if (!status.unconfirmed.empty() && ApplyCancellations(now, status.unconfirmed)) {
+      outbox_.effects.cancellation_confirmations.push_back(
+          {settings_.member, status.from, status.unconfirmed});
+    }
   }
   peers_.OnStatus(now, status);
 }
--- a/src/core/controller/controller.h
+++ b/src/core/controller/controller.h
@@ -10,6 +10,7 @@
 #include "core/controller/connectivity.h"
 #include "core/controller/machine_type_catalog.h"
 #include "core/controller/peer_view.h"
+#include "core/election/cancellation_fence.h"
 #include "core/election/election.h"
 #include "core/leader/leader.h"
 #include "core/outbox/outbox.h"
@@ -35,6 +36,11 @@
   void OnPeerStatus(Micros now, const PeerStatus& status);
   void OnMembershipMessage(Micros now, const membership::Message& message);
   void OnCellMessage(Micros now, const limits::CellMessage& message);
+  void OnCancellationConfirmation(Micros now, const CancellationConfirmation& confirmation);
+
+  // Asked right before the response leaves the process: whether its starts, if it has any, are
+  // still allowed.
+  bool MaySend(Micros now, const HeartbeatResponse& response) const;
 
   // Called when the process is to terminate: a leader hands over to a peer. Idempotent; each tick
   // continues the handover until `handover_done`.
@@ -44,6 +50,8 @@
   // Whether the load balancer should send users here.
   bool IsHealthy(Micros now) const;
   bool leads() const { return election_->leads(); }
+  // Recorded cancellations that users have not been told of yet.
+  size_t unconfirmed_cancellations() const { return fence_->size(); }
   Effects TakeEffects() { return std::exchange(outbox_.effects, Effects{}); }
   // Null before the first tick.
   const membership::Members* members() const { return peers_.members(); }
@@ -59,6 +67,10 @@
   void SendStatus(Micros now);
   void OnCancellationPending(Micros now, const std::string& job);
   void OnCancellationRecorded(Micros now, const std::string& job);
+  // As the leader: applies the durable cancellations, and returns whether this leader's word that
+  // it starts no more tasks of the jobs holds for all leaders.
+  bool ApplyCancellations(Micros now, const std::vector<std::string>& jobs);
+  void ConfirmOwnCancellations(Micros now);
   // Steps down as the leader if a peer receives heartbeats and this controller does not.
   void StepDownForPeerWithHeartbeats(Micros now);
   // Lets the leader answer the heartbeat; false if the agent must be redirected or rejected.
@@ -72,6 +84,7 @@
   Connectivity connectivity_;
   PeerView peers_;
   std::unique_ptr<Election> election_;
+  std::unique_ptr<CancellationFence> fence_;
   std::unique_ptr<JobApi> job_api_;
   std::unique_ptr<Leader> leader_;
   // Leader of the term that just ended, kept until no call to it can be on the stack.
--- a/src/core/election/election.h
+++ b/src/core/election/election.h
@@ -57,6 +57,9 @@
   // The leader according to the state service; empty if there is none.
   const std::string& leader() const { return leader_; }
   uint64_t seen_term() const { return seen_term_; }
+  // Revision of the state service at which the leader key last changed, as far as it is known here;
+  // 0: unknown. Every leader that was elected before it has stopped starting tasks.
+  uint64_t leader_changed_at() const { return last_leader_version_; }
   // Records a fencing token that an agent reported; the next term must be greater.
   void NoteFencingToken(uint64_t fencing_token) {
     highest_seen_fencing_token_ = std::max(highest_seen_fencing_token_, fencing_token);
--- a/src/core/election/leader_authority.h
+++ b/src/core/election/leader_authority.h
@@ -26,7 +26,13 @@
       : election_(election),
         jobs_(jobs),
         heartbeat_answer_span_(std::max(Seconds(0), cancel_deadline - agent_lease - kMargin)),
-        cancellation_knowledge_span_(leader_lease.Scaled(2)) {}
+        cancellation_knowledge_span_(CancellationKnowledgeSpan(leader_lease)) {}
+
+  // A leader starts nothing when its knowledge of the cancellations is older than this by its own
+  // clock.
+  static Micros CancellationKnowledgeSpan(Micros leader_lease) {
+    return leader_lease.Scaled(kCancellationKnowledgeLeases);
+  }
 
   // Every cancellation that was recorded before this time has been applied here.
   Micros known_as_of() const { return jobs_->known_as_of(); }
@@ -52,6 +58,7 @@
  private:
   // Allows for clock drift over both spans and for an agent that stops its tasks slightly late.
   static constexpr Micros kMargin = Seconds(2);
+  static constexpr double kCancellationKnowledgeLeases = 2;
 
   const Election* election_;
   const KeyRangeCache* jobs_;
--- a/src/core/leader/heartbeat_handler.cpp
+++ b/src/core/leader/heartbeat_handler.cpp
@@ -23,10 +23,7 @@
 // Only answers with starts have a time limit: the process may be paused between deciding on a start
 // and sending it.
 Micros HeartbeatHandler::ValidUntil(const std::vector<Command>& commands) const {
-  const bool starts = std::any_of(commands.begin(), commands.end(), [](const Command& command) {
-    return command.verb == Command::Verb::kStart;
-  });
-  return starts ? authority().start_until() : kNever;
+  return HasStarts(commands) ? authority().start_until() : kNever;
 }
 
 HeartbeatHandler::Outcome HeartbeatHandler::Handle(Micros now, RequestId request_id,
--- a/src/core/leader/job_table.cpp
+++ b/src/core/leader/job_table.cpp
@@ -54,7 +54,7 @@
 }
 
 void JobTable::AddJob(Micros now, const JobSpec& spec, uint64_t version) {
-  if (jobs_.count(spec.id)) return;
+  if (jobs_.count(spec.id) || cancelled_at_.contains(spec.id)) return;
   std::unique_ptr<Job> job = MakeJob(now, spec, version);
   smallest_need_ = jobs_.empty() ? spec.need : ElementwiseMin(smallest_need_, spec.need);
   ForecastArrival(now, *job);
@@ -119,7 +119,15 @@
   if (Job* job = Find(id)) job->cancel_pending = true;
 }
 
-void JobTable::ExpirePendingCancellations(Micros now) {
+void JobTable::EndCancelledJob(Micros now, const std::string& id) {
+  cancelled_at_.emplace(id, now);
+  EndJob(now, id);
+}
+
+void JobTable::ExpireCancellations(Micros now) {
+  std::erase_if(cancelled_at_, [known_as_of = authority().known_as_of()](const auto& cancelled) {
+    return known_as_of > cancelled.second;
+  });
   for (auto it = cancel_pending_until_.begin(); it != cancel_pending_until_.end();) {
     if (now < it->second) {
       ++it;
--- a/src/core/leader/job_table.h
+++ b/src/core/leader/job_table.h
@@ -29,14 +29,18 @@
   // The job's record was deleted, since the job is finished or cancelled. Stops all its remaining
   // tasks. Does nothing for an unknown job.
   void EndJob(Micros now, const std::string& id);
+  // The job's cancellation is durable: ends the job as EndJob does, even if it is not known here
+  // yet.
+  void EndCancelledJob(Micros now, const std::string& id);
   // A task has completed; a gang's tasks complete together. After the last task the job's end is
   // written.
   void MarkDone(Micros now, Job* job, int task);
   // A controller is recording the job's cancellation: no task of it starts for a while. Only the
   // job's record decides whether it is cancelled. The job may still be unknown here.
   void MarkCancelPending(Micros now, const std::string& job);
-  // Resumes jobs whose cancellation was not recorded in time.
-  void ExpirePendingCancellations(Micros now);
+  // Resumes jobs whose cancellation was not recorded in time, and forgets cancellations that the
+  // job records show.
+  void ExpireCancellations(Micros now);
   // Marks the arrays and services that have made no progress for long.
   void MarkStarved(Micros now);
   // Returns a task that was queued or placed to the waiting tasks, after `delay`.
@@ -67,6 +71,9 @@
 
   Jobs jobs_;
   std::map<std::string, Micros> cancel_pending_until_;
+  // Jobs whose cancellation another controller has reported, and when it did. The job records read
+  // here may be older, so that they still contain such a job.
+  std::map<std::string, Micros> cancelled_at_;
   Resources smallest_need_;
 };
 
--- a/src/core/leader/leader.cpp
+++ b/src/core/leader/leader.cpp
@@ -1,5 +1,6 @@
 #include "core/leader/leader.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace badgershore {
@@ -186,6 +187,12 @@
   assert(VerifyCounts().empty());
 }
 
+bool Leader::MayStart(const std::vector<Command>& commands) const {
+  return std::all_of(commands.begin(), commands.end(), [this](const Command& command) {
+    return command.verb != Command::Verb::kStart || job_table_.Find(command.ref.job) != nullptr;
+  });
+}
+
 LeaderGauges Leader::Gauges(Micros now) const {
   LeaderGauges gauges;
   gauges.term = context_.election->term();
@@ -218,7 +225,7 @@
 
 void Leader::Schedule(Micros now) {
   quota_shares_.Tick(now);
-  job_table_.ExpirePendingCancellations(now);
+  job_table_.ExpireCancellations(now);
   job_table_.MarkStarved(now);
   job_table_.MarkGuaranteedTasks(now);
   fair_share_.Tick(now);
--- a/src/core/leader/leader.h
+++ b/src/core/leader/leader.h
@@ -76,10 +76,9 @@
   }
   // The job's cancellation is durable: stops its tasks at once, even if this leader can't read the
   // record itself.
-  void EndCancelledJob(Micros now, const std::string& job) {
-    job_table_.MarkCancelPending(now, job);
-    job_table_.EndJob(now, job);
-  }
+  void EndCancelledJob(Micros now, const std::string& job) { job_table_.EndCancelledJob(now, job); }
+  // Whether the jobs of all starts among the commands are still live.
+  bool MayStart(const std::vector<Command>& commands) const;
   const QuotaShares& quota_shares() const { return quota_shares_; }
   bool recording() const { return record_writer_.IsWriteInFlight(); }
   bool ready() const { return ready_; }
--- a/src/core/model/effects.h
+++ b/src/core/model/effects.h
@@ -1,6 +1,7 @@
 // Inputs and outputs of the core, which itself uses no clock, socket or log.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -135,6 +136,11 @@
   uint64_t attempt = 0;
   Micros grace_period;
 };
+// Whether one of the commands starts a task.
+inline bool HasStarts(const std::vector<Command>& commands) {
+  return std::any_of(commands.begin(), commands.end(),
+                     [](const Command& command) { return command.verb == Command::Verb::kStart; });
+}
 struct HeartbeatResponse {
   RequestId request_id = 0;
   int status = 503;  // 200, 421 or 503
@@ -185,6 +191,15 @@
   std::vector<std::string> cancelling;
   // Jobs whose cancellation is durable. End records never change, so this may arrive late.
   std::vector<std::string> cancelled;
+  // Jobs whose cancellation is durable and which the leader is asked to confirm.
+  std::vector<std::string> unconfirmed;
+};
+
+// From the leader: it has applied the cancellations of these jobs and starts no more tasks of them,
+// and its lease was valid after it had learned of them. Stays true, so it may arrive late.
+struct CancellationConfirmation {
+  std::string from, to;
+  std::vector<std::string> jobs;
 };
 
 // A message from this cell's leader to another cell's, sent to one address or to all addresses of
@@ -208,6 +223,7 @@
   std::vector<PeerStatus> peer_statuses;
   std::vector<CellDelivery> cell_deliveries;
   std::vector<membership::Message> membership_messages;
+  std::vector<CancellationConfirmation> cancellation_confirmations;
   std::vector<LogLine> log;
 };
 
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -19,6 +19,11 @@
   ar(status.from, status.term, status.leader, status.state_service_reachable, status.job_statuses);
 }
 
+template <class Archive>
+void serialize(Archive& ar, CancellationConfirmation& confirmation) {
+  ar(confirmation.from, confirmation.to, confirmation.jobs);
+}
+
 namespace limits {
 
 template <class Archive>
@@ -56,6 +61,7 @@
 // Flags in the header, in the bits above the size.
 constexpr uint32_t kCellFlag = uint32_t{1} << 30;
 constexpr uint32_t kMembershipFlag = uint32_t{1} << 29;
+constexpr uint32_t kConfirmationFlag = uint32_t{1} << 28;
 
 std::string AddHeader(const std::string& body, uint32_t flags) {
   const uint32_t header = static_cast<uint32_t>(body.size()) | flags;
@@ -97,12 +103,17 @@
   return Encode(message, kMembershipFlag);
 }
 
+std::string EncodeFrame(const CancellationConfirmation& confirmation) {
+  return Encode(confirmation, kConfirmationFlag);
+}
+
 std::string EncodeFrame(const PeerStatus& status) {
   std::ostringstream out;
   {
     cereal::PortableBinaryOutputArchive archive(out);
     // Fields added by later versions come last; earlier versions do not read them.
     archive(status, status.receives_heartbeats, status.cancelling, status.cancelled);
+    if (!status.unconfirmed.empty()) archive(status.unconfirmed);
   }
   return AddHeader(out.str(), 0);
 }
@@ -115,6 +126,10 @@
   return Decode<membership::Message>(body);
 }
 
+std::optional<CancellationConfirmation> DecodeCancellationConfirmation(std::string_view body) {
+  return Decode<CancellationConfirmation>(body);
+}
+
 std::optional<PeerStatus> DecodePeerStatus(std::string_view body) {
   std::istringstream in{std::string(body)};
   PeerStatus status;
@@ -126,11 +141,16 @@
     archive(status.receives_heartbeats);
     ++versions_read;
     archive(status.cancelling, status.cancelled);
+    ++versions_read;
+    archive(status.unconfirmed);
   } catch (const std::exception&) {
     if (versions_read == 0) return std::nullopt;
     if (versions_read == 1) status.receives_heartbeats = false;
-    status.cancelling.clear();
-    status.cancelled.clear();
+    if (versions_read <= 2) {
+      status.cancelling.clear();
+      status.cancelled.clear();
+    }
+    status.unconfirmed.clear();
   }
   return status;
 }
@@ -141,11 +161,13 @@
     value |= static_cast<uint32_t>(static_cast<unsigned char>(header[i])) << (8 * i);
   }
   FrameHeader decoded;
-  decoded.body_size = value & ~(kCellFlag | kMembershipFlag);
+  decoded.body_size = value & ~(kCellFlag | kMembershipFlag | kConfirmationFlag);
   if (value & kMembershipFlag) {
     decoded.kind = FrameKind::kMembershipMessage;
   } else if (value & kCellFlag) {
     decoded.kind = FrameKind::kCellMessage;
+  } else if (value & kConfirmationFlag) {
+    decoded.kind = FrameKind::kCancellationConfirmation;
   }
   if (decoded.body_size == 0 || decoded.body_size > kMaxFrameBytes) return std::nullopt;
   return decoded;
--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -5,8 +5,8 @@
 namespace badgershore::peer {
 namespace {
 
-constexpr size_t kMaxMembershipBytes = 16 * 1024;  // pending for one peer
-constexpr int kMaxReceivers = 96;                  // controllers of this cell and leaders of others
+constexpr size_t kMaxQueuedBytes = 64 * 1024;  // for one peer
+constexpr int kMaxReceivers = 96;              // controllers of this cell and leaders of others
 constexpr Micros kConnectTimeout = Seconds(1);
 constexpr Micros kWriteTimeout = Seconds(2);
 constexpr Micros kReadTimeout = Seconds(20);  // peers send their status twice a second
@@ -45,16 +45,24 @@
   }
 }
 
-void PeerTransport::Send(const membership::Message& message) {
+void PeerTransport::Enqueue(const std::string& member, const std::string& frame) {
   for (auto& peer : peers_) {
-    if (peer->name != message.to) continue;
-    // The peer is unreachable and the pending messages are out of date.
-    if (peer->membership_frames.size() > kMaxMembershipBytes) peer->membership_frames.clear();
-    peer->membership_frames += EncodeFrame(message);
+    if (peer->name != member) continue;
+    // The peer is unreachable and the queued messages are out of date.
+    if (peer->queued_frames.size() > kMaxQueuedBytes) peer->queued_frames.clear();
+    peer->queued_frames += frame;
     StartSending(peer.get());
   }
 }
 
+void PeerTransport::Send(const membership::Message& message) {
+  Enqueue(message.to, EncodeFrame(message));
+}
+
+void PeerTransport::Send(const CancellationConfirmation& confirmation) {
+  Enqueue(confirmation.to, EncodeFrame(confirmation));
+}
+
 void PeerTransport::Send(const CellDelivery& delivery) {
   const std::string frame = EncodeFrame(delivery.message);
   if (frame.size() > kMaxFrameBytes) return;
@@ -71,9 +79,9 @@
 
 io::Task<void> PeerTransport::SendPending(OutgoingConnection* peer) {
   peer->sending = true;
-  while (!peer->latest_frame.empty() || !peer->membership_frames.empty()) {
+  while (!peer->latest_frame.empty() || !peer->queued_frames.empty()) {
     const std::string frames =
-        std::exchange(peer->membership_frames, {}) + std::exchange(peer->latest_frame, {});
+        std::exchange(peer->queued_frames, {}) + std::exchange(peer->latest_frame, {});
     if (!peer->socket.open()) {
       peer->socket =
           co_await io::Socket::Connect(loop_, peer->address, io::Loop::Now() + kConnectTimeout);
@@ -129,6 +137,11 @@
     case FrameKind::kCellMessage:
       if (auto message = DecodeCellMessage(body)) callbacks_.on_cell_message(std::move(*message));
       return;
+    case FrameKind::kCancellationConfirmation:
+      if (auto confirmation = DecodeCancellationConfirmation(body)) {
+        callbacks_.on_cancellation_confirmation(std::move(*confirmation));
+      }
+      return;
     case FrameKind::kPeerStatus:
       if (auto status = DecodePeerStatus(body)) callbacks_.on_peer_status(std::move(*status));
       return;
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -24,6 +24,7 @@
     std::function<void(PeerStatus)> on_peer_status;
     std::function<void(limits::CellMessage)> on_cell_message;
     std::function<void(membership::Message)> on_membership_message;
+    std::function<void(CancellationConfirmation)> on_cancellation_confirmation;
   };
   PeerTransport(io::Loop* loop, const PlatformSettings& settings, Callbacks callbacks);
 
@@ -31,8 +32,9 @@
   [[nodiscard]] Result<void> Start();
   // Sends to all other controllers of the cell.
   void Send(const PeerStatus& status);
-  // Sends to the member in `message.to`.
+  // These send to the member in `to`.
   void Send(const membership::Message& message);
+  void Send(const CancellationConfirmation& confirmation);
   // Sends to controllers of another cell.
   void Send(const CellDelivery& delivery);
 
@@ -40,12 +42,13 @@
   struct OutgoingConnection {
     std::string name;
     std::string address;
-    std::string latest_frame;       // replaces an older frame that was not sent
-    std::string membership_frames;  // all of these are sent
+    std::string latest_frame;   // replaces an older frame that was not sent
+    std::string queued_frames;  // all of these are sent
     bool sending = false;
     io::Socket socket;
   };
   void StartSending(OutgoingConnection* peer);
+  void Enqueue(const std::string& member, const std::string& frame);
   io::Task<void> SendPending(OutgoingConnection* peer);
   io::Task<void> Accept();
   io::Task<void> Receive(io::Socket socket);
--- a/src/rehearsal/nodes.cpp
+++ b/src/rehearsal/nodes.cpp
@@ -149,6 +149,14 @@
           k, [this, m](Controller* controller) { controller->OnMembershipMessage(now_, m); });
     });
   }
+  for (const CancellationConfirmation& confirmation : out.cancellation_confirmations) {
+    const size_t k = NodeIndex(confirmation.to);
+    Deliver(name, confirmation.to, false, [this, k, confirmation] {
+      RunWhenResumed(k, [this, confirmation](Controller* controller) {
+        controller->OnCancellationConfirmation(now_, confirmation);
+      });
+    });
+  }
   for (const CellDelivery& send : out.cell_deliveries) SendToCell(index, send);
   for (StateRequest& op : out.state_requests) {
     const bool paced =
--- a/tests/election_model_test.cpp
+++ b/tests/election_model_test.cpp
@@ -105,5 +105,49 @@
   }
 }
 
+// Guards against a task that starts after its user was told of the cancellation, because a leader
+// that is cut off, or was paused, does not know of it.
+TEST(CancelModel, NoTaskStartsAfterItsUserWasTold) {
+  for (const std::vector<std::string>& first :
+       {std::vector<std::string>{},
+        {"refuse a", "cut a", "cancel"},
+        {"hang a", "cut a", "cancel"},
+        {"pause a", "cancel"},
+        {"pause a", "second", "second", "second", "hang b", "cancel"}}) {
+    CancelPlan plan;
+    plan.confirmations = true;
+    plan.faults = 2;
+    plan.initial_events = first;
+    EXPECT_EQ(
+        ExploreAndPrint(CancelModel(plan), 30000, first.empty() ? "" : first[0].c_str()).violation,
+        "");
+  }
+}
+
+TEST(CancelModel, FindsInjectedFaultsOfConfirmations) {
+  struct Fault {
+    AuthorityFault fault;
+    std::vector<std::string> initial_events;
+    const char* name;
+  };
+  const std::vector<Fault> faults = {
+      {AuthorityFault::kReportWhenRecorded, {"refuse a", "cut a"}, "told when recorded"},
+      {AuthorityFault::kConfirmPastLease,
+       {"pause a", "second", "second", "second", "moves", "second", "second", "hang b", "cut b",
+        "cancel"},
+       "confirmed past the lease"}};
+  for (const Fault& f : faults) {
+    CancelPlan plan;
+    plan.confirmations = true;
+    plan.fault = f.fault;
+    plan.faults = 2;
+    plan.initial_events = f.initial_events;
+    EXPECT_NE(ExploreAndPrint(CancelModel(plan), 30000, f.name).violation, "") << f.name;
+    plan.fault = AuthorityFault::kNone;
+    EXPECT_EQ(ExploreAndPrint(CancelModel(plan), 20000, "without the fault").violation, "")
+        << f.name;
+  }
+}
+
 }  // namespace
 }  // namespace badgershore::check
--- a/tests/kept_scenario_test.cpp
+++ b/tests/kept_scenario_test.cpp
@@ -126,7 +126,7 @@
   const std::string first = store::Sha256(World(scenario, 7).Run().history);
   EXPECT_EQ(first, store::Sha256(World(scenario, 7).Run().history));
   EXPECT_NE(first, store::Sha256(World(scenario, 8).Run().history));
-  EXPECT_EQ(first, "bac48e9e45f06d4468c95f95b375114b8bf0ec149a1559040a75f41527b330be");
+  EXPECT_EQ(first, "913210c957df17e534b642bd843a27344420c9f4d3f6ad425859e0ac965568a9");
 }
 
 }  // namespace
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -248,10 +248,12 @@
     }
     if (verb == "job") return SubmitJob(w);
     if (verb == "query") {
+      last_api_response_ = "no answer yet";
       core_->OnQuery(now_, ++last_request_id_, w.At(1));
       return CarryOutEffects();
     }
     if (verb == "withdraw") {
+      last_api_response_ = "no answer yet";
       core_->OnCancel(now_, ++last_request_id_, w.At(1));
       return CarryOutEffects();
     }
@@ -290,6 +292,9 @@
       status.receives_heartbeats = w.Has("hears");
       if (w.named.contains("calls_off")) status.cancelling = {w.Text("calls_off")};
       if (w.named.contains("called_off")) status.cancelled = {w.Text("called_off")};
+      if (w.named.contains("asks")) status.unconfirmed = {w.Text("asks")};
+      if (w.named.contains("confirms"))
+        core_->OnCancellationConfirmation(now_, {w.At(1), "m-0", {w.Text("confirms")}});
       core_->OnPeerStatus(now_, status);
       return CarryOutEffects();
     }
@@ -344,6 +349,10 @@
         seen_effects_.push_back(text);
         open_commands_[d.machine].push_back(d);
       }
+      for (const CancellationConfirmation& c : out.cancellation_confirmations) {
+        for (const std::string& job : c.jobs)
+          seen_effects_.push_back("confirms " + c.to + " " + job);
+      }
       for (const LogLine& l : out.log) logged_lines_.push_back(l.text);
       for (const CloudRequest& c : out.cloud_requests) ServeCloudRequest(c);
       bool progressed = !out.cloud_requests.empty();
@@ -457,6 +466,7 @@
     if (!w.Text("zone").empty()) spec.zone = w.Text("zone");
     spec.submitted_ms = 1000000 + now_.ToMillis();
     if (!w.Has("malformed")) s.spec = spec;
+    last_api_response_ = "no answer yet";
     core_->OnSubmit(now_, ++last_request_id_, s);
     CarryOutEffects();
   }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -225,7 +225,8 @@
 }
 
 TEST(Peers, PeerStatusRoundTripAndMalformedFrames) {
-  PeerStatus message{"m-1", 7, "m-2", true, {{"job-1", 3, 4}}, true, {"job-9"}, {"job-8"}};
+  PeerStatus message{"m-1", 7,         "m-2",     true,     {{"job-1", 3, 4}},
+                     true,  {"job-9"}, {"job-8"}, {"job-7"}};
   const std::string frame = peer::EncodeFrame(message);
   const auto header = peer::DecodeHeader(frame);
   ASSERT_TRUE(header);
@@ -238,9 +239,11 @@
   EXPECT_TRUE(decoded->receives_heartbeats);
   EXPECT_EQ(decoded->cancelling, std::vector<std::string>{"job-9"});
   // Statuses of earlier versions are still accepted: the first version ended with the jobs, the
-  // second with the flag receives_heartbeats.
+  // second with the flag receives_heartbeats, the third with the cancelled jobs.
   EXPECT_EQ(decoded->cancelled, std::vector<std::string>{"job-8"});
-  const size_t cancellation_bytes = 2 * (8 + 8 + 5);  // two lists: count, length and name
+  EXPECT_EQ(decoded->unconfirmed, std::vector<std::string>{"job-7"});
+  const size_t list_bytes = 8 + 8 + 5;  // count, length and name
+  const size_t cancellation_bytes = 3 * list_bytes;
   const auto first_version = peer::DecodePeerStatus(
       std::string_view(frame).substr(4, header->body_size - cancellation_bytes - 1));
   ASSERT_TRUE(first_version);
@@ -252,9 +255,31 @@
   EXPECT_TRUE(second_version->receives_heartbeats);
   EXPECT_TRUE(second_version->cancelling.empty());
   EXPECT_TRUE(second_version->cancelled.empty());
-  EXPECT_FALSE(peer::DecodePeerStatus(std::string_view(frame).substr(4, header->body_size / 2)));
+  const auto third_version =
+      peer::DecodePeerStatus(std::string_view(frame).substr(4, header->body_size - list_bytes));
+  ASSERT_TRUE(third_version);
+  EXPECT_EQ(third_version->cancelled, std::vector<std::string>{"job-8"});
+  EXPECT_TRUE(third_version->unconfirmed.empty());
+  // One byte less than the first version.
+  EXPECT_FALSE(peer::DecodePeerStatus(
+      std::string_view(frame).substr(4, header->body_size - cancellation_bytes - 2)));
   EXPECT_FALSE(peer::DecodeHeader(std::string("\xff\xff\xff\xff", 4)));
 }
 
+TEST(Peers, CancellationConfirmationRoundTrip) {
+  const std::string frame =
+      peer::EncodeFrame(CancellationConfirmation{"m-1", "m-2", {"job-1", "job-2"}});
+  const auto header = peer::DecodeHeader(frame);
+  ASSERT_TRUE(header);
+  EXPECT_EQ(header->body_size, frame.size() - 4);
+  EXPECT_EQ(header->kind, peer::FrameKind::kCancellationConfirmation);
+  const auto decoded = peer::DecodeCancellationConfirmation(std::string_view(frame).substr(4));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->from, "m-1");
+  EXPECT_EQ(decoded->to, "m-2");
+  EXPECT_EQ(decoded->jobs, (std::vector<std::string>{"job-1", "job-2"}));
+  EXPECT_FALSE(peer::DecodeCancellationConfirmation(std::string_view(frame).substr(4, 9)));
+}
+
 }  // namespace
 }  // namespace badgershore::wire
