Wait for the disk failure in ReplicaExitsOnCorruptData

Cause: the test lets the disk of one replica fail, writes twice, damages the replica's log and lets the disk work again. The writes need only the two other replicas, so on a busy machine the fault was over before the replica had met it: it never opened its log again, and didn't exit. The output of the failed runs lacks "disk operations have been failing".

Change: the injected fault leaves a marker, and the test waits for it. What the test asks of the replica is unchanged.

--- a/tests/failing_disk.cpp
+++ b/tests/failing_disk.cpp
@@ -51,10 +51,20 @@
   return IsBelow(path);
 }
 
+// Tells the test that a fault has taken effect.
+void RecordFailure() {
+  char marker[4096];
+  snprintf(marker, sizeof(marker), "%s.failed", getenv("FAILING_DISK_CONTROL"));
+  static const Open next = NextSymbol<Open>("open");
+  const int file = next(marker, O_CREAT | O_WRONLY, 0600);
+  if (file >= 0) close(file);
+}
+
 template <typename Target>
 bool ShouldFail(const char* call, Target target) {
   const int saved = errno;
   const int fault = IsBelow(target) ? CurrentFault(call) : 0;
+  if (fault != 0) RecordFailure();
   errno = fault != 0 ? fault : saved;
   return fault != 0;
 }
--- a/tests/failing_disk.h
+++ b/tests/failing_disk.h
@@ -1,10 +1,12 @@
 // Injects disk faults into programs that a test starts, by preloading failing_disk.cpp.
 #pragma once
 
+#include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <string>
+#include <thread>
 #include <utility>
 
 namespace badgershore {
@@ -37,13 +39,25 @@
   // From now on every operation that changes files fails with `error` (errno), or only the given
   // system call, such as "fsync".
   void Fail(int error, const std::string& call = "") {
+    std::filesystem::remove(failure_marker());
     const std::string temporary = control_file_ + ".new";
     std::ofstream(temporary) << error << ' ' << call;
     std::filesystem::rename(temporary, control_file_);
   }
   void ClearFault() { std::filesystem::remove(control_file_); }
+  // Waits until the last fault has made an operation fail; false if none fails within 15 s.
+  bool WaitUntilFailed() const {
+    constexpr auto kPollInterval = std::chrono::milliseconds(50);
+    for (int polls = 0; polls < 300; ++polls) {
+      if (std::filesystem::exists(failure_marker())) return true;
+      std::this_thread::sleep_for(kPollInterval);
+    }
+    return false;
+  }
 
  private:
+  std::string failure_marker() const { return control_file_ + ".failed"; }
+
   std::string directory_, control_file_, asan_options_;
   bool preload_enabled_ = false;
 };
--- a/tests/replication_program_test.cpp
+++ b/tests/replication_program_test.cpp
@@ -280,6 +280,8 @@
   disk_.Fail(EIO);
   ASSERT_TRUE(Put(0, "b/1", "11"));
   ASSERT_TRUE(Put(0, "b/2", "22"));
+  // The two other replicas are a majority, so the writes above don't show that this one has failed.
+  ASSERT_TRUE(disk_.WaitUntilFailed());
   for (const auto& file : fs::directory_iterator(Data(kFailing))) {
     if (file.path().extension() != ".log") continue;
     std::fstream out(file.path(), std::ios::in | std::ios::out | std::ios::binary);
