Bound the work on one job in each step of the leader's loop

Cause: ScaleOutForGangs searched all rooms for each member and added a room for each member without one, in the loop that renews the lease.

Change: rooms are filled and machines requested by number.

--- a/src/core/leader/agent_client.cpp
+++ b/src/core/leader/agent_client.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Micros kProbeInterval = Seconds(1);
+// Stops sent in one tick. The stops of the largest gang still leave within its failure timeout.
+constexpr size_t kMaxStopsPerTick = 4096;
 
 }  // namespace
 
@@ -31,9 +33,11 @@
 
 void AgentClient::SendStops(Machine* machine) {
   if (machine->endpoint.empty() || machine->agent_epoch == 0) return;
+  if (stops_sent_ >= kMaxStopsPerTick) return delayed_stops_.push_back(machine->id);
   CommandRequest request = RequestTo(*machine);
   AppendStops(*machine, &request.commands);
   if (request.commands.empty()) return;
+  stops_sent_ += request.commands.size();
   outbox()->SendCommand(request,
                         Guarded([this, id = machine->id](Micros now, CommandResponse& response) {
                           Machine* answered = machine_table().Find(id);
@@ -43,6 +47,15 @@
                         }));
 }
 
+void AgentClient::Tick() {
+  stops_sent_ = 0;
+  for (size_t n = delayed_stops_.size(); n > 0 && stops_sent_ < kMaxStopsPerTick; --n) {
+    Machine* machine = machine_table().Find(delayed_stops_.front());
+    delayed_stops_.pop_front();
+    if (machine) SendStops(machine);
+  }
+}
+
 void AgentClient::Probe(Micros now, Machine* machine) {
   if (machine->probe_in_flight || machine->endpoint.empty()) return;
   machine->probe_in_flight = true;
--- a/src/core/leader/agent_client.h
+++ b/src/core/leader/agent_client.h
@@ -1,6 +1,7 @@
 // Direct calls from the leader to agents.
 #pragma once
 
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -27,13 +28,20 @@
   void Probe(Micros now, Machine* machine);
   // Appends the machine's requested stops.
   static void AppendStops(const Machine& machine, std::vector<Command>* commands);
-  // Sends the machine's requested stops, if there are any.
+  // Sends the machine's requested stops, if there are any: at once, or in one of the next ticks if
+  // many stops have been sent in this one.
   void SendStops(Machine* machine);
+  // Sends the stops that were delayed.
+  void Tick();
 
  private:
   CommandRequest RequestTo(const Machine& machine) const;
   void OnProbeAnswer(Micros now, const std::string& id, uint64_t probed_epoch,
                      const CommandResponse& response);
+
+  // Stops sent since the last tick, and the machines whose stops are delayed.
+  size_t stops_sent_ = 0;
+  std::deque<std::string> delayed_stops_;
 };
 
 }  // namespace badgershore
--- a/src/core/leader/dispatch.cpp
+++ b/src/core/leader/dispatch.cpp
@@ -356,7 +356,9 @@
       bind_budget_ -= static_cast<double>(machine_table().machines().size());
       ready = ReadyMachines(now);
     }
-    bind_budget_ -= static_cast<double>(ready->size() + job->waiting.size());
+    // No more tasks are bound than the window has room for, however many wait.
+    const auto window = static_cast<size_t>(options().bind_window - job->queued);
+    bind_budget_ -= static_cast<double>(ready->size() + std::min(window, job->waiting.size()));
     const std::vector<EligibleMachine> eligible = EligibleMachines(now, *job, *ready);
     if (!eligible.empty()) BindTasks(now, job, eligible);
   }
--- a/src/core/leader/fair_share.cpp
+++ b/src/core/leader/fair_share.cpp
@@ -77,7 +77,9 @@
   const std::vector<Job*> jobs = JobsShortOfGuarantee(now);
   if (jobs.empty() || !election()->MayStart(now)) return;
   CountStoppingTasks();
-  for (Job* job : jobs) ReclaimGuarantee(now, job);
+  for (Job* job : reclaim_budget_.Choose(jobs, machine_table().ScanCost() + 1)) {
+    ReclaimGuarantee(now, job);
+  }
 }
 
 void FairShare::ReleaseExpiredHolds(Micros now) {
--- a/src/core/leader/fair_share.h
+++ b/src/core/leader/fair_share.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/leader/leader_component.h"
+#include "core/leader/round_robin_budget.h"
 #include "core/model/fleet.h"
 #include "core/model/jobs.h"
 
@@ -67,6 +68,10 @@
   bool PlanPreemption(Micros now, Machine* machine, const Job& job, int tasks,
                       PreemptionOption* option) const;
 
+  // Limit on the machines and allocations that are looked at in one tick to reclaim guarantees.
+  static constexpr size_t kMaxScansPerTick = 400000;
+
+  RoundRobinBudget reclaim_budget_{kMaxScansPerTick};
   std::vector<Share> shares_;  // by team
   std::vector<Job*> preferred_jobs_;
   std::vector<PreemptedCpu> preempted_;  // by team
--- a/src/core/leader/gang_reservations.cpp
+++ b/src/core/leader/gang_reservations.cpp
@@ -110,6 +110,16 @@
   return after_gangs;
 }
 
+void GangReservations::ReserveForPlacement(Job* gang, const std::vector<MachineShare>& shares) {
+  ReleaseReservation(gang);
+  gang->has_reservation = true;
+  for (const MachineShare& share : shares) {
+    share.machine->reserved_for = gang;
+    share.machine->reserved_members = share.members;
+    share.machine->reserved_after_gangs = false;
+  }
+}
+
 void GangReservations::ReleaseReservation(Job* gang) {
   if (!std::exchange(gang->has_reservation, false)) return;
   for (auto& [id, machine] : machine_table().machines()) {
--- a/src/core/leader/gang_reservations.h
+++ b/src/core/leader/gang_reservations.h
@@ -11,6 +11,12 @@
 
 namespace badgershore {
 
+// The number of a gang's members that a machine is to run.
+struct MachineShare {
+  Machine* machine = nullptr;
+  int members = 0;
+};
+
 // Reserves machines for waiting gangs and has them cleared. Tasks are spread evenly, which leaves
 // no machine empty enough for a large member, so a gang would wait forever without a reservation. A
 // gang reserves machines for all of its missing members or for none: two gangs that each held half
@@ -25,6 +31,8 @@
   void ReserveFor(Micros now, Job* gang, bool prioritized);
   // Releases all machines reserved for the gang. Does nothing if there are none.
   void ReleaseReservation(Job* gang);
+  // Replaces the gang's reservation by the machines that its next members will be placed on.
+  void ReserveForPlacement(Job* gang, const std::vector<MachineShare>& shares);
 
  private:
   struct Candidate {
--- a/src/core/leader/gang_scheduler.cpp
+++ b/src/core/leader/gang_scheduler.cpp
@@ -30,13 +30,15 @@
     const bool was_unplaced = gang->placed == 0;
     AdvanceAttempt(now, gang);
     if (was_unplaced && gang->placed > 0) gang_queue().RecordStart(now, *gang, prioritized);
+    if (gang->is_being_placed) continue;
     if (!NeedsMachines(now, *gang)) {
       gang_reservations().ReleaseReservation(gang);
     } else if (CheckGangQuota(now, gang, prioritized)) {
       waiting.push_back(gang);
     }
   }
-  for (Job* gang : waiting) {
+  // Each gang's reservation looks at all machines with their tasks.
+  for (Job* gang : reservation_budget_.Choose(waiting, machine_table().ScanCost() + 1)) {
     gang_reservations().ReserveFor(now, gang, order.IsPrioritized(gang));
   }
   PreemptForBlockedGang(now, waiting);
@@ -47,15 +49,16 @@
   if (gang->placed == 0) {
     // All members are known to have ended, so the next placement begins a new attempt.
     gang->gang_attempt = 0;
-    gang->gang_attempt_ran = gang->gang_stopping = false;
+    gang->gang_attempt_ran = gang->gang_stopping = gang->is_being_placed = false;
     if (now >= gang->backoff_until && !reconciler().MayStillRun(*gang)) {
       gang_placement().Place(now, gang);
     }
     return;
   }
   if (gang->gang_stopping || gang->placed == gang->remaining()) return;
-  // A member is missing. If the gang has not run yet in this attempt, the member is replaced.
-  // Otherwise a replacement could not join, and the remaining members are stopped.
+  // Some members are not placed yet, or a member is missing. If the gang has not run yet in this
+  // attempt, the member is replaced. Otherwise a replacement could not join, and the remaining
+  // members are stopped.
   if (gang->gang_attempt_ran) return StopGang(now, gang, {});
   if (!reconciler().MayStillRun(*gang)) gang_placement().Place(now, gang);
 }
@@ -102,12 +105,14 @@
     if (StopMembersOn(now, machine.get(), gang, grace)) agent_client().SendStops(machine.get());
   }
   gang->gang_stopping = true;
+  gang->is_being_placed = false;
 }
 
 // Returns whether stops have to be sent to the machine.
 bool GangScheduler::StopMembersOn(Micros now, Machine* machine, Job* gang, Micros grace) {
   bool has_stops = false;
-  for (auto it = machine->allocations.begin(); it != machine->allocations.end();) {
+  auto [it, end] = machine->AllocationsOf(gang->spec.id);
+  while (it != end) {
     Allocation& allocation = it->second;
     if (allocation.job == gang && allocation.start_unsent) {
       const int task = allocation.ref.task;
--- a/src/core/leader/gang_scheduler.h
+++ b/src/core/leader/gang_scheduler.h
@@ -5,6 +5,7 @@
 
 #include "core/leader/gang_queue.h"
 #include "core/leader/leader_component.h"
+#include "core/leader/round_robin_budget.h"
 #include "core/model/jobs.h"
 
 namespace badgershore {
@@ -13,7 +14,8 @@
 // waiting gangs, and preempts tasks for gangs that are blocked by their team's limit.
 class GangScheduler : public LeaderComponent {
  public:
-  using LeaderComponent::LeaderComponent;
+  explicit GangScheduler(const LeaderContext* context)
+      : LeaderComponent(context), reservation_budget_(kMaxScansPerTick) {}
 
   void Tick(Micros now);
   // Ends the gang's attempt: requeues members whose start has not been sent and stops the others
@@ -30,6 +32,10 @@
   void PreemptForBlockedGang(Micros now, const std::vector<Job*>& waiting);
   bool StopMembersOn(Micros now, Machine* machine, Job* gang, Micros grace);
 
+  // Limit on the machines and allocations that are looked at in one tick to reserve machines.
+  static constexpr size_t kMaxScansPerTick = 400000;
+
+  RoundRobinBudget reservation_budget_;
   Micros next_quota_preemption_at_;
 };
 
--- a/src/core/leader/job_table.cpp
+++ b/src/core/leader/job_table.cpp
@@ -175,13 +175,14 @@
 // Drops starts that have not been sent. Returns whether stops have to be sent to the machine.
 bool JobTable::StopTasksOn(Machine* machine, const std::string& id) {
   bool has_stops = false;
-  for (auto it = machine->allocations.begin(); it != machine->allocations.end();) {
+  auto [it, end] = machine->AllocationsOf(id);
+  while (it != end) {
     Allocation& allocation = it->second;
-    if (allocation.ref.job == id && allocation.start_unsent) {
+    if (allocation.start_unsent) {
       it = usage_accounting().Remove(machine, it);
       continue;
     }
-    if (allocation.ref.job == id && !allocation.exited()) {
+    if (!allocation.exited()) {
       allocation.stop_requested = true;
       allocation.grace_period = {};
       has_stops = true;
@@ -216,7 +217,7 @@
 }
 
 void JobTable::MarkDone(Micros now, Job* job, int task) {
-  if (job->IsService()) return;
+  if (job->IsService() || job->finishing) return;
   if (job->IsGang()) {
     for (int i = 0; i < job->spec.tasks; ++i) MarkTaskDone(now, job, i);
   } else {
--- a/src/core/leader/leader.cpp
+++ b/src/core/leader/leader.cpp
@@ -224,6 +224,7 @@
 }
 
 void Leader::Schedule(Micros now) {
+  agent_client_.Tick();
   quota_shares_.Tick(now);
   job_table_.ExpireCancellations(now);
   job_table_.MarkStarved(now);
--- a/src/core/leader/machine_table.cpp
+++ b/src/core/leader/machine_table.cpp
@@ -60,6 +60,12 @@
          now >= machine.start_backoff_until;
 }
 
+size_t MachineTable::ScanCost() const {
+  size_t cost = machines_.size();
+  for (const auto& [id, machine] : machines_) cost += machine->allocations.size();
+  return cost;
+}
+
 void MachineTable::UpdateType(Machine* machine) {
   if (machine->type) return;
   auto type = types().find(machine->type_name);
--- a/src/core/leader/machine_table.h
+++ b/src/core/leader/machine_table.h
@@ -32,6 +32,8 @@
 
   // Whether tasks may be started on the machine.
   bool IsReady(const Machine& machine, Micros now) const;
+  // Number of machines and of allocations on them: the cost of looking at all of them once.
+  size_t ScanCost() const;
   // Looks up the machine's type, if it is not known yet.
   void UpdateType(Machine* machine);
   // The allocation is known not to be on the machine: requeues its task.
--- a/src/core/leader/provisioner.cpp
+++ b/src/core/leader/provisioner.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr int kMaxInstancesPerScaleOut = 50;
+// Scale-out requests without an outcome. The cloud takes only a few a second, so that more of them
+// would be throttled.
+constexpr size_t kMaxPendingScaleOuts = 64;
 constexpr size_t kMaxInstancesPerScaleIn = 100;
 constexpr int kMaxUnknownOutcomes = 6;
 constexpr Micros kScaleInterval = Seconds(1);
@@ -139,6 +142,7 @@
   for (; count > kMaxInstancesPerScaleOut; count -= kMaxInstancesPerScaleOut) {
     ScaleOut(now, offer, kMaxInstancesPerScaleOut);
   }
+  if (pending_scale_outs_.size() >= kMaxPendingScaleOuts) return;  // decided again later
   // Unique across all leaders, since no other leader has this term.
   const std::string request_name =
       "t" + std::to_string(election()->term()) + "-" + std::to_string(++scale_out_requests_);
--- a/src/core/leader/record_writer.cpp
+++ b/src/core/leader/record_writer.cpp
@@ -62,9 +62,9 @@
 
 // A transaction, and the data that is needed to process its response.
 struct RecordWriter::Batch {
-  struct CompletedTask {
+  struct CompletedTasks {
     std::string job;
-    int task = 0;
+    std::vector<int> tasks;
   };
   struct PageWrite {
     PagedRecords* records = nullptr;
@@ -73,7 +73,7 @@
     bool urgent = false;
     // Durable once the page is written.
     std::vector<std::string> machines;
-    std::vector<CompletedTask> tasks;
+    std::vector<CompletedTasks> tasks;
   };
 
   StateRequest request;  // empty once sent
@@ -262,12 +262,14 @@
   if (!ParseProgressItem(item, &id, &chunk)) return;
   const Job* job = FindJob(id);
   if (!job) return;
+  Batch::CompletedTasks completed{id, {}};
   const int end = std::min(job->spec.tasks, (chunk + 1) * kChunkTasks);
   for (int task = chunk * kChunkTasks; task < end; ++task) {
     const TaskState& state = job->tasks[static_cast<size_t>(task)];
     if (state.stage != TaskStage::kDone || state.durable) continue;
-    batch->pages.back().tasks.push_back({id, task});
+    completed.tasks.push_back(task);
   }
+  if (!completed.tasks.empty()) batch->pages.back().tasks.push_back(std::move(completed));
 }
 
 Record RecordWriter::MachinePageValue(const PagedRecords::Page& page) const {
@@ -325,9 +327,10 @@
       machine->durable = true;
       heartbeat_handler().AnswerPending(now, machine);
     }
-    for (const Batch::CompletedTask& completed : write.tasks) {
+    for (const Batch::CompletedTasks& completed : write.tasks) {
       Job* job = FindJob(completed.job);
-      if (job) job->tasks[static_cast<size_t>(completed.task)].durable = true;
+      if (!job) continue;
+      for (const int task : completed.tasks) job->tasks[static_cast<size_t>(task)].durable = true;
     }
   }
   for (const std::string& id : batch.job_ends) job_table().EndJob(now, id);
--- a/src/core/leader/stuck_job_detector.cpp
+++ b/src/core/leader/stuck_job_detector.cpp
@@ -119,7 +119,9 @@
   counts.on_machine.resize(job.tasks.size(), 0);
   for (auto& [id, machine] : machine_table().machines()) {
     counts.machines.insert(machine.get());
-    for (auto& [key, allocation] : machine->allocations) {
+    const auto [begin, end] = machine->AllocationsOf(job.spec.id);
+    for (auto it = begin; it != end; ++it) {
+      const Allocation& allocation = it->second;
       if (allocation.job != &job || allocation.exited()) continue;
       ++counts.placed;
       counts.running += allocation.phase == TaskPhase::kRunning;
--- a/src/core/leader/usage_accounting.cpp
+++ b/src/core/leader/usage_accounting.cpp
@@ -68,6 +68,10 @@
   allocation->counted = true;
   const Resources& need = allocation->need;
   machine->used = machine->used + need;
+  if (allocation->job && allocation->job->IsGang()) {
+    allocation->counted_for_gangs = true;
+    machine->gang_use = machine->gang_use + need;
+  }
   TeamUse& team = teams_[allocation->team];
   team.used = team.used + need;
   if (allocation->preemptible_priority >= 0) {
@@ -83,6 +87,7 @@
   if (!std::exchange(allocation->counted, false)) return;
   const Resources& need = allocation->need;
   machine->used = machine->used - need;
+  SubtractGangUse(machine, allocation);
   if (std::exchange(allocation->confirmed, false)) {
     machine->confirmed_use = machine->confirmed_use - need;
   }
@@ -97,6 +102,11 @@
   RefreshUncertainUse(machine);
 }
 
+void UsageAccounting::SubtractGangUse(Machine* machine, Allocation* allocation) {
+  if (!std::exchange(allocation->counted_for_gangs, false)) return;
+  machine->gang_use = machine->gang_use - allocation->need;
+}
+
 // `tasks` may be negative.
 void UsageAccounting::AddUnknownTasks(Machine* machine, int tasks) {
   machines_with_unknown_tasks_ -= machine->unknown_tasks > 0;
@@ -146,8 +156,7 @@
   allocation->exit_reason = reason;
 }
 
-UsageAccounting::Allocations::iterator UsageAccounting::Remove(Machine* machine,
-                                                               Allocations::iterator it) {
+Allocations::iterator UsageAccounting::Remove(Machine* machine, Allocations::iterator it) {
   ReleaseFromJob(&it->second, *machine);
   SubtractUse(machine, &it->second);
   return machine->allocations.erase(it);
@@ -160,8 +169,12 @@
 }
 
 void UsageAccounting::DetachJob(Machine* machine, const Job* job) {
-  for (auto& [key, allocation] : machine->allocations) {
-    if (allocation.job == job) allocation.job = nullptr;
+  const auto [begin, end] = machine->AllocationsOf(job->spec.id);
+  for (auto it = begin; it != end; ++it) {
+    Allocation& allocation = it->second;
+    if (allocation.job != job) continue;
+    SubtractGangUse(machine, &allocation);
+    allocation.job = nullptr;
   }
 }
 
@@ -191,11 +204,13 @@
 // Adds the machine to the recount. Returns false if the machine's own counts differ.
 bool UsageAccounting::RecountMachine(const Machine& machine, Recount* recount) {
   Resources used;
+  Resources gang_use;
   Resources confirmed_use;
   int unknown_tasks = 0;
   for (const auto& [key, allocation] : machine.allocations) {
     if (allocation.exited()) continue;
     used = used + allocation.need;
+    if (allocation.job && allocation.job->IsGang()) gang_use = gang_use + allocation.need;
     if (allocation.confirmed) confirmed_use = confirmed_use + allocation.need;
     unknown_tasks += allocation.team < 0;
     TeamUse& team = recount->teams[allocation.team];
@@ -213,8 +228,8 @@
   }
   recount->uncertain_use =
       recount->uncertain_use + UncertainUse(machine, confirmed_use, unknown_tasks);
-  return used == machine.used && confirmed_use == machine.confirmed_use &&
-         unknown_tasks == machine.unknown_tasks;
+  return used == machine.used && gang_use == machine.gang_use &&
+         confirmed_use == machine.confirmed_use && unknown_tasks == machine.unknown_tasks;
 }
 
 std::string UsageAccounting::VerifyTeams(const Recount& recount) const {
--- a/src/core/leader/usage_accounting.h
+++ b/src/core/leader/usage_accounting.h
@@ -20,7 +20,6 @@
 class UsageAccounting : public LeaderComponent {
  public:
   explicit UsageAccounting(const LeaderContext* context);
-  using Allocations = std::map<TaskKey, Allocation>;
 
   // Places a waiting or queued task on the machine.
   Allocation* PlaceTask(Micros now, Machine* machine, Job* job, int task, uint64_t attempt);
@@ -89,6 +88,7 @@
   void AddUse(Machine* machine, Allocation* allocation);
   void SubtractUse(Machine* machine, Allocation* allocation);
   void AddUnknownTasks(Machine* machine, int tasks);
+  static void SubtractGangUse(Machine* machine, Allocation* allocation);
 
   static bool RecountMachine(const Machine& machine, Recount* recount);
   std::string VerifyTeams(const Recount& recount) const;
--- a/src/core/model/fleet.cpp
+++ b/src/core/model/fleet.cpp
@@ -1,15 +1,31 @@
 #include "core/model/fleet.h"
 
+#include <limits>
+
 #include "core/model/jobs.h"
 
 namespace badgershore {
 
-Resources Machine::GangUse() const {
-  Resources used;
-  for (const auto& [key, o] : allocations) {
-    if (!o.exited() && o.job && o.job->IsGang()) used = used + o.need;
-  }
-  return used;
+namespace {
+
+// Less than the keys of all tasks of the job, and greater than those of all jobs before it.
+TaskKey FirstKeyOf(const std::string& job) { return {{job, std::numeric_limits<int>::min()}, 0}; }
+
+// The smallest id that is greater than `job`.
+std::string NextId(const std::string& job) { return job + '\0'; }
+
+}  // namespace
+
+std::pair<Allocations::iterator, Allocations::iterator> Machine::AllocationsOf(
+    const std::string& job) {
+  return {allocations.lower_bound(FirstKeyOf(job)),
+          allocations.lower_bound(FirstKeyOf(NextId(job)))};
+}
+
+std::pair<Allocations::const_iterator, Allocations::const_iterator> Machine::AllocationsOf(
+    const std::string& job) const {
+  return {allocations.lower_bound(FirstKeyOf(job)),
+          allocations.lower_bound(FirstKeyOf(NextId(job)))};
 }
 
 bool Allows(const JobSpec& spec, const MachineType& type, const std::string& zone, bool spot) {
--- a/src/core/model/fleet.h
+++ b/src/core/model/fleet.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/model/effects.h"
@@ -30,11 +31,14 @@
   uint64_t sent_epoch = 0, sent_sequence = 0;
   bool stop_requested = false;
   Micros grace_period;
-  bool counted = false;           // included in the usage accounting
+  bool counted = false;  // included in the usage accounting
+  bool counted_for_gangs = false;
   int preemptible_priority = -1;  // its priority if a gang of higher priority may preempt it
   bool exited() const { return phase == TaskPhase::kExited; }
 };
 
+using Allocations = std::map<TaskKey, Allocation>;
+
 struct QueueEntry {
   Job* job = nullptr;
   std::deque<QueuedTask> tasks;
@@ -93,7 +97,7 @@
   Micros missing_since{-1};
   std::optional<Micros> preemption_at;  // when the spot machine is terminated, by its notice
 
-  std::map<TaskKey, Allocation> allocations;
+  Allocations allocations;
   std::map<QueueKey, QueueEntry> queue;
   std::vector<double> dispatched_work;  // total work dispatched to the machine, by size bucket
   Micros last_gang_at;                  // when a gang was last on it
@@ -120,16 +124,21 @@
   std::deque<std::string> images;  // most recent last
 
   // Maintained by UsageAccounting: the resources of all allocations that have not exited, the part
-  // that the agent has confirmed, the number of tasks of unknown jobs, and the resources that other
-  // tasks may use on the machine.
+  // that belongs to gangs, the part that the agent has confirmed, the number of tasks of unknown
+  // jobs, and the resources that other tasks may use on the machine.
   Resources used;
+  Resources gang_use;
   Resources confirmed_use;
   int unknown_tasks = 0;
   Resources uncertain_use;
   bool uncertain_use_unbounded = false;
   const Resources& Used() const { return used; }
   // Resources that gangs use on the machine; the rest is available to other jobs.
-  Resources GangUse() const;
+  const Resources& GangUse() const { return gang_use; }
+  // The allocations of the job's tasks, from the first up to the second iterator.
+  std::pair<Allocations::iterator, Allocations::iterator> AllocationsOf(const std::string& job);
+  std::pair<Allocations::const_iterator, Allocations::const_iterator> AllocationsOf(
+      const std::string& job) const;
   int ActiveTasks() const {
     int n = 0;
     for (const auto& [key, o] : allocations) n += !o.exited();
--- a/src/core/model/jobs.h
+++ b/src/core/model/jobs.h
@@ -71,6 +71,9 @@
   uint64_t gang_attempt = 0;      // 0: not placed
   bool gang_attempt_ran = false;  // some member of this attempt was reported running
   bool gang_stopping = false;
+  // Gangs: only some members of this attempt are placed, since not all of them are in one step. The
+  // machines for the others are reserved.
+  bool is_being_placed = false;
   bool has_run = false;                 // gangs: some attempt ran during this term
   bool starved = false;                 // arrays and services: no progress for a long time
   bool has_reservation = false;         // machines are reserved for it
--- a/src/core/placement/gang_scale_out.cpp
+++ b/src/core/placement/gang_scale_out.cpp
@@ -10,13 +10,18 @@
 constexpr double kEndsSoonFrom = 0.8;
 constexpr double kEndsSoonUntil = 1.3;
 
-// Room for gangs on a machine.
+// Machines requested in one decision. The rest follows in the next decisions, so that a gang of any
+// size takes a bounded time and leaves requests to others.
+constexpr int64_t kMaxMachinesPerDecision = 1000;
+
+// Room for gangs on a machine, or on each of several machines that are only requested.
 struct MachineRoom {
   Machine* machine = nullptr;  // null if it has only been requested
   const MachineType* type = nullptr;
   std::string zone;
   bool spot = false;
-  Resources free;
+  Resources free;  // on each machine
+  int64_t machines = 1;
 };
 
 struct TeamPriority {
@@ -83,13 +88,11 @@
       for (const auto& [key, allocation] : m->allocations) {
         if (BlocksGangs(allocation, highest, snapshot_.now)) used = used + allocation.need;
       }
-      rooms_.push_back({m, m->type, m->zone, m->spot, m->type->size - used});
+      rooms_.push_back({m, m->type, m->zone, m->spot, m->type->size - used, 1});
     }
     for (const auto& [offer, count] : snapshot_.pending_scale_out) {
       const MachineType& type = snapshot_.machine_types->at(offer.type);
-      for (int i = 0; i < count; ++i) {
-        rooms_.push_back({nullptr, &type, offer.zone, offer.spot, type.size});
-      }
+      rooms_.push_back({nullptr, &type, offer.zone, offer.spot, type.size, count});
     }
   }
 
@@ -98,7 +101,7 @@
     for (const Job* job : snapshot_.jobs) {
       if (!job->IsGang() || job->gang_attempt != 0 || job->finishing || job->IsFaulty()) continue;
       if (!ReserveQuota(job->team, job->spec, job->remaining())) continue;
-      for (int i = 0; i < job->remaining(); ++i) ProvideForMember(job->spec);
+      ProvideForMembers(job->spec, job->remaining());
       waiting += job->remaining();
     }
     return waiting;
@@ -112,9 +115,7 @@
       const int expected = GangForecast::ExpectedMembers(demand, LongestBoot(demand.spec),
                                                          snapshot_.now, options_.gang_spare);
       const int team = snapshot_.team_index ? snapshot_.team_index(demand.spec.team) : -1;
-      for (int i = 0; i < expected && ReserveQuota(team, demand.spec, 1); ++i) {
-        ProvideForMember(demand.spec);
-      }
+      ProvideForMembers(demand.spec, ReserveQuotaUpTo(team, demand.spec, expected));
     }
   }
 
@@ -126,25 +127,60 @@
     return boot;
   }
 
-  void ProvideForMember(const JobSpec& spec) {
-    for (MachineRoom& room : rooms_) {
-      if (!Allows(spec, *room.type, room.zone, room.spot) || !spec.need.Fits(room.free)) continue;
-      room.free = room.free - spec.need;
-      if (room.machine && room.machine->draining) decision_->undrain.push_back(room.machine);
-      if (room.machine) decision_->reserved_for_gangs.insert(room.machine);
-      return;
-    }
+  // Fills the rooms in their order, then requests machines. The time does not depend on the number
+  // of members.
+  void ProvideForMembers(const JobSpec& spec, int64_t members) {
+    for (size_t i = 0; i < rooms_.size() && members > 0; ++i) members -= Occupy(i, spec, members);
+    if (members > 0) RequestMachines(spec, members);
+  }
+
+  // Returns how many of the members the room takes.
+  int64_t Occupy(size_t index, const JobSpec& spec, int64_t members) {
+    const MachineRoom room = rooms_[index];
+    if (!Allows(spec, *room.type, room.zone, room.spot)) return 0;
+    const int64_t fitting = room.free.Holds(spec.need);
+    if (fitting == 0) return 0;
+    const int64_t taken = std::min(members, fitting * room.machines);
+    if (room.machine && room.machine->draining) decision_->undrain.push_back(room.machine);
+    if (room.machine) decision_->reserved_for_gangs.insert(room.machine);
+    // The machines are full, except for the last one that takes a member, or free.
+    const int64_t full = taken / fitting;
+    const int64_t in_last = taken % fitting;
+    SplitRoom(index, full, spec.need.Times(fitting));
+    if (in_last > 0) SplitRoom(full > 0 ? index + 1 : index, 1, spec.need.Times(in_last));
+    return taken;
+  }
+
+  // Deducts `used` on each of the first `machines` of the room's machines; the others remain as a
+  // room of their own behind it.
+  void SplitRoom(size_t index, int64_t machines, const Resources& used) {
+    if (machines == 0) return;
+    MachineRoom rest = rooms_[index];
+    rooms_[index].machines = machines;
+    rooms_[index].free = rest.free - used;
+    rest.machines -= machines;
+    if (rest.machines == 0) return;
+    rooms_.insert(rooms_.begin() + static_cast<long>(index) + 1, std::move(rest));
+  }
+
+  void RequestMachines(const JobSpec& spec, int64_t members) {
     const std::vector<InstanceOffer> offers = offers_.OffersFor(snapshot_, spec);
     const InstanceOffer* cheapest = CheapestOffer(snapshot_, offers);
     if (!cheapest) return;
-    ++requested_[*cheapest];
     const MachineType& type = snapshot_.machine_types->at(cheapest->type);
-    rooms_.push_back({nullptr, &type, cheapest->zone, cheapest->spot, type.size - spec.need});
+    const int64_t fitting = type.size.Holds(spec.need);
+    const int64_t machines =
+        std::min((members + fitting - 1) / fitting, kMaxMachinesPerDecision - requested_machines_);
+    if (machines <= 0) return;
+    requested_machines_ += machines;
+    requested_[*cheapest] += static_cast<int>(machines);
+    rooms_.push_back({nullptr, &type, cheapest->zone, cheapest->spot, type.size, machines});
+    Occupy(rooms_.size() - 1, spec, members);
   }
 
   // Deducts the members' CPU from the team's headroom; false if that is not enough: members that
   // the quota keeps from starting need no machines.
-  bool ReserveQuota(int team, const JobSpec& spec, int members) {
+  bool ReserveQuota(int team, const JobSpec& spec, int64_t members) {
     if (!snapshot_.gang_cpu_headroom) return true;
     int64_t& reserved_cpu = reserved_quota_[{team, spec.priority}];
     const int64_t cpu = spec.need.cpu * members;
@@ -153,6 +189,15 @@
     return true;
   }
 
+  // Deducts as many members as the headroom allows, and returns their number.
+  int64_t ReserveQuotaUpTo(int team, const JobSpec& spec, int64_t members) {
+    if (ReserveQuota(team, spec, members)) return members;
+    const int64_t headroom =
+        snapshot_.gang_cpu_headroom(team, spec.priority) - reserved_quota_[{team, spec.priority}];
+    const int64_t allowed = spec.need.cpu > 0 ? std::max<int64_t>(0, headroom / spec.need.cpu) : 0;
+    return ReserveQuota(team, spec, allowed) ? allowed : 0;
+  }
+
   const ScalingSnapshot& snapshot_;
   const GangForecast& forecast_;
   const InstanceOffers& offers_;
@@ -160,6 +205,7 @@
   ScalingDecision* decision_;
   std::vector<MachineRoom> rooms_;
   std::map<InstanceOffer, int> requested_;
+  int64_t requested_machines_ = 0;
   std::map<TeamPriority, int64_t> reserved_quota_;
 };
 
