--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -270,6 +270,11 @@
       return;
     }
     if (verb == "gets") return ExpectEqual(line.substr(5), last_heartbeat_response_);
+    if (verb == "may-leave" || verb == "may-not-leave") {
+      if (core_->MaySend(now_, last_sent_response_) != (verb == "may-leave"))
+        throw TraceFailure{"the response is judged otherwise"};
+      return;
+    }
     if (verb == "sees") return ExpectSeen(line.substr(5));
     if (verb == "logs") {
       for (const std::string& logged_line : logged_lines_)
@@ -329,6 +334,7 @@
       Effects out = core_->TakeEffects();
       for (const HeartbeatResponse& a : out.heartbeat_responses) {
         if (a.request_id != heartbeat_request_id_) continue;
+        last_sent_response_ = a;
         last_heartbeat_response_ = std::to_string(a.status);
         if (a.status == 200) {
           last_heartbeat_response_ +=
@@ -681,6 +687,7 @@
   RequestId last_request_id_ = 0, heartbeat_request_id_ = 0;
   std::map<std::string, uint64_t> sequence_;
   std::string last_heartbeat_response_, last_api_response_;
+  HeartbeatResponse last_sent_response_;
 };
 
 int Run(const char* file) {
