Expect no further gangs like one that was cancelled before it ran

What users would have paid: for two minutes after a mistaken gang was cancelled, its arrival counted in the forecast of gangs, and room for as many members was requested, now that the leader survives such a gang.

Cause: GangForecast keeps arrivals whatever became of the gang. Change: a gang that is cancelled before any attempt has run is removed. The bench has a phase in which all machines are lost.

Measured: NoMachinesAreRequestedForACancelledGang fails without the change.

--- a/bench/large_job_bench.cpp
+++ b/bench/large_job_bench.cpp
@@ -55,9 +55,21 @@
   const char* name;
   JobKind kind;
   double cpus;
-  bool completes;  // else it is cancelled
+  enum class End { kCancelled, kCompleted, kMachinesLost } end = End::kCancelled;
 };
 
+const char* EndName(Case::End end) {
+  switch (end) {
+    case Case::End::kCancelled:
+      return "cancelled";
+    case Case::End::kCompleted:
+      return "completed";
+    case Case::End::kMachinesLost:
+      return "machines lost";
+  }
+  return "";
+}
+
 void Report(const Case& c, int tasks, const char* phase, const EmulatedSite& site,
             StepTimer* timer) {
   std::printf(
@@ -70,7 +82,8 @@
 // Gangs that fit nowhere wait while the tasks of an array run.
 void RunWithWaitingGangs(int tasks) {
   constexpr int kGangs = 50;
-  const Case c{"array beside 50 waiting gangs", JobKind::kArray, kSmallTaskCpus, false};
+  const Case c{"array beside 50 waiting gangs", JobKind::kArray, kSmallTaskCpus,
+               Case::End::kCancelled};
   EmulatedSite site;
   StepTimer timer(&site);
   site.Submit(c.kind, tasks, c.cpus);
@@ -96,13 +109,12 @@
   site.StartController();
   site.Advance(Seconds(8));
   Report(c, tasks, "taken over", site, &timer);
-  if (c.completes) {
-    site.CompleteAll();
-  } else {
-    site.Cancel();
-  }
-  site.Advance(Seconds(10));
-  Report(c, tasks, c.completes ? "completed" : "cancelled", site, &timer);
+  if (c.end == Case::End::kCompleted) site.CompleteAll();
+  if (c.end == Case::End::kCancelled) site.Cancel();
+  if (c.end == Case::End::kMachinesLost) site.SilenceAgents();
+  // The agents' leases expire within 40 s.
+  site.Advance(Seconds(c.end == Case::End::kMachinesLost ? 45 : 15));
+  Report(c, tasks, EndName(c.end), site, &timer);
 }
 
 }  // namespace
@@ -110,13 +122,17 @@
 
 int main(int argc, char** argv) {
   using badgershore::JobKind;
+  using End = badgershore::Case::End;
+  constexpr double kCpus = badgershore::kSmallTaskCpus;
   const std::vector<badgershore::Case> cases = {
-      {"gang that fits nowhere", JobKind::kGang, 30, false},
-      {"gang of small tasks", JobKind::kGang, badgershore::kSmallTaskCpus, false},
-      {"gang of small tasks", JobKind::kGang, badgershore::kSmallTaskCpus, true},
-      {"array of small tasks", JobKind::kArray, badgershore::kSmallTaskCpus, false},
-      {"array of small tasks", JobKind::kArray, badgershore::kSmallTaskCpus, true},
-      {"service of small tasks", JobKind::kService, badgershore::kSmallTaskCpus, false}};
+      {"gang that fits nowhere", JobKind::kGang, 30, End::kCancelled},
+      {"gang of small tasks", JobKind::kGang, kCpus, End::kCancelled},
+      {"gang of small tasks", JobKind::kGang, kCpus, End::kCompleted},
+      {"gang of small tasks", JobKind::kGang, kCpus, End::kMachinesLost},
+      {"array of small tasks", JobKind::kArray, kCpus, End::kCancelled},
+      {"array of small tasks", JobKind::kArray, kCpus, End::kCompleted},
+      {"array of small tasks", JobKind::kArray, kCpus, End::kMachinesLost},
+      {"service of small tasks", JobKind::kService, kCpus, End::kCancelled}};
   for (int i = 1; i < argc; ++i) {
     for (const badgershore::Case& c : cases) badgershore::Run(c, std::atoi(argv[i]));
     badgershore::RunWithWaitingGangs(std::atoi(argv[i]));
--- a/src/core/leader/job_table.cpp
+++ b/src/core/leader/job_table.cpp
@@ -153,6 +153,8 @@
   }
   record_writer().RemoveProgress(now, *job);
   if (job->IsGang()) gang_scheduler().Remove(job);
+  const bool never_ran = job->done == 0 && !job->has_run;
+  if (job->IsGang() && never_ran) scaler().RemoveGangArrival(job->spec, job->submitted_at);
   fair_share().Remove(job);
 }
 
--- a/src/core/placement/autoscaler.h
+++ b/src/core/placement/autoscaler.h
@@ -34,6 +34,8 @@
                            Micros now);
   // The same for a gang. Also call RecordGangDemand().
   void RecordGangArrival(const JobSpec& spec, Micros at) { gangs_.RecordArrival(spec, at); }
+  // Called for a gang that was cancelled before it ran.
+  void RemoveGangArrival(const JobSpec& spec, Micros at) { gangs_.RemoveArrival(spec, at); }
   // Called when a gang arrives, and while it waits for machines.
   void RecordGangDemand(const JobSpec& spec, Micros now) { gangs_.RecordDemand(spec, now); }
 
--- a/src/core/placement/gang_forecast.cpp
+++ b/src/core/placement/gang_forecast.cpp
@@ -29,6 +29,14 @@
   by_job_class_[spec.job_class].arrivals.push_back({at, spec.tasks});
 }
 
+void GangForecast::RemoveArrival(const JobSpec& spec, Micros at) {
+  std::deque<Arrival>& arrivals = by_job_class_[spec.job_class].arrivals;
+  const auto it = std::find_if(arrivals.begin(), arrivals.end(), [&](const Arrival& arrival) {
+    return arrival.at == at && arrival.members == spec.tasks;
+  });
+  if (it != arrivals.end()) arrivals.erase(it);
+}
+
 bool GangForecast::NeedsMostOf(const MachineType& type, const std::string& zone, bool spot,
                                Micros now) const {
   for (const auto& [job_class, demand] : by_job_class_) {
--- a/src/core/placement/gang_forecast.h
+++ b/src/core/placement/gang_forecast.h
@@ -27,6 +27,9 @@
   void RecordDemand(const JobSpec& spec, Micros now);
   // Called once for each gang, in addition to RecordDemand().
   void RecordArrival(const JobSpec& spec, Micros at);
+  // Called for a gang that was cancelled before it ran: it predicts no further gangs. `at`: as in
+  // RecordArrival().
+  void RemoveArrival(const JobSpec& spec, Micros at);
 
   // Whether a member of some recent gang needs more than half of such a machine.
   bool NeedsMostOf(const MachineType& type, const std::string& zone, bool spot, Micros now) const;
--- a/tests/emulated_site.h
+++ b/tests/emulated_site.h
@@ -126,13 +126,16 @@
     for (auto& [id, agent] : agents_) agent.CompleteAll();
   }
 
+  // From now on all machines are unreachable.
+  void SilenceAgents() { agents_are_silent_ = true; }
+
   void Advance(Micros duration) {
     const Micros end = now_ + duration;
     while (now_ < end) {
       now_ = now_ + kTick;
       state_.ExpireLeases(now_);
       Step([&] { controller_->Tick(now_, TimeOfDayMs()); });
-      if (now_ < next_heartbeats_at_) continue;
+      if (now_ < next_heartbeats_at_ || agents_are_silent_) continue;
       next_heartbeats_at_ = now_ + kHeartbeatInterval;
       GatherGang();
       for (auto& [id, agent] : agents_) {
@@ -196,6 +199,11 @@
       heartbeat_requests_.erase(it);
     }
     for (const CommandRequest& r : effects.command_requests) {
+      if (agents_are_silent_) {
+        responses_.push_back(
+            [this, id = r.id] { controller_->OnCommandResponse(now_ + kTick, id, {}); });
+        continue;
+      }
       Agent& agent = agents_.at(r.machine);
       agent.fencing_token = r.fencing_token;
       agent.Execute(r.commands);
@@ -264,6 +272,7 @@
   RequestId last_request_ = 0;
   size_t gang_members_ = 0;
   bool gang_started_ = false;
+  bool agents_are_silent_ = false;
   std::map<std::string, Agent> agents_;
   std::map<RequestId, Agent*> heartbeat_requests_;
   std::vector<std::function<void()>> responses_;
--- a/tests/large_job_test.cpp
+++ b/tests/large_job_test.cpp
@@ -56,6 +56,20 @@
   EXPECT_LE(largest.scale_outs, kMaxScaleOutsPerStep);
 }
 
+// Guards against machines that are requested for gangs like one that was submitted by mistake and
+// cancelled before it ran.
+TEST(LargeJob, NoMachinesAreRequestedForACancelledGang) {
+  EmulatedSite site;
+  site.Submit(JobKind::kGang, kTasks, 30);
+  site.Advance(Seconds(5));
+  site.Cancel();
+  // The cloud's refusals are forgotten after 20 s, the arrivals of gangs after 120 s.
+  LargestStep largest;
+  Observe(&site, &largest);
+  site.Advance(Seconds(60));
+  EXPECT_EQ(largest.scale_outs, 0u);
+}
+
 // Guards against a leader that places all members of a gang in one step, and against a gang that is
 // placed in several steps and never complete.
 TEST(LargeJob, GangIsPlacedInBoundedSteps) {
