Reserve a team's limit for the rest of a gang that is being placed

Cause: a gang of more than 4,096 members is placed in several steps; between them another job of its team could have taken what the team's limit still allowed, and the gang would have waited incomplete. Change: what its other members need counts as reserved meanwhile.

--- a/src/core/leader/gang_scheduler.cpp
+++ b/src/core/leader/gang_scheduler.cpp
@@ -30,7 +30,11 @@
     const bool was_unplaced = gang->placed == 0;
     AdvanceAttempt(now, gang);
     if (was_unplaced && gang->placed > 0) gang_queue().RecordStart(now, *gang, prioritized);
-    if (gang->is_being_placed) continue;
+    if (gang->is_being_placed) {
+      // Its other members are placed in the next ticks, which must not exceed the team's limit.
+      quota_reservations().Reserve(*gang, gang->remaining() - gang->placed);
+      continue;
+    }
     if (!NeedsMachines(now, *gang)) {
       gang_reservations().ReleaseReservation(gang);
     } else if (CheckGangQuota(now, gang, prioritized)) {
