Settings: the state service's limits are one struct

Cause: the limits that are announced for later are the same four fields, and would have stood beside these as a second set of loose members. Change: StateServiceLimits; no setting, key or value changes. Measured: all programs and tests build.

--- a/src/adapters/state_client.cpp
+++ b/src/adapters/state_client.cpp
@@ -29,7 +29,7 @@
 StateClient::StateClient(io::Loop* loop, const PlatformSettings& settings)
     : loop_(loop),
       // An equal share for each controller, with some headroom for bursts of other clients.
-      rate_(settings.state_rps * 0.9 / static_cast<double>(settings.members.size() + 1)),
+      rate_(settings.state.requests_per_s * 0.9 / static_cast<double>(settings.members.size() + 1)),
       tokens_(rate_),
       tokens_updated_at_(io::Loop::Now()),
       last_response_at_(io::Loop::Now()),
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -129,10 +129,10 @@
     workers.Fail("cancel_s", "more than lease_s, or a cancellation can't be guaranteed");
   }
   const JsonReader state = params.Object("state");
-  s.state_rps = state.Number("rps", 1, 1e9);
-  s.state_write_rps = state.Number("write_rps", 0.1, 1e9);
-  s.state_value_kb = state.Number("value_kb", 0.1, 1e6);
-  s.state_txn_ops = static_cast<int>(state.Number("txn_ops", 3, 1e6));
+  s.state.requests_per_s = state.Number("rps", 1, 1e9);
+  s.state.changes_per_s = state.Number("write_rps", 0.1, 1e9);
+  s.state.value_kb = state.Number("value_kb", 0.1, 1e6);
+  s.state.mutations = static_cast<int>(state.Number("txn_ops", 3, 1e6));
   const JsonReader cloud = params.Object("cloud");
   s.cloud_rps = cloud.Number("rps", 0.01, 1e9);
   s.cloud_list_lag = Seconds(cloud.Number("list_lag_s", 0, 1e6));
--- a/src/config/scenario.cpp
+++ b/src/config/scenario.cpp
@@ -126,8 +126,8 @@
   s.gang_start_timeout = Seconds(30);
   s.gang_failure_timeout = Seconds(6);
   s.cancel_deadline = Seconds(40);
-  s.state_rps = 250;
-  s.state_write_rps = 15;
+  s.state.requests_per_s = 250;
+  s.state.changes_per_s = 15;
   s.cloud_list_lag = Seconds(3);
   s.quota_connections = 2000;
   return s;
@@ -149,10 +149,11 @@
   s.gang_failure_timeout = span("gang_peer_s", 0.5, 60, defaults.gang_failure_timeout);
   const double min_cancel_s = s.agent_lease.ToSeconds() + 1;
   s.cancel_deadline = span("cancel_s", min_cancel_s, 3600, defaults.cancel_deadline);
-  s.state_rps = site->Number("state_rps", 1, 1e6, defaults.state_rps);
-  s.state_write_rps = site->Number("state_write_rps", 1, 1e6, defaults.state_write_rps);
-  s.state_value_kb = site->Number("state_value_kb", 1, 64, defaults.state_value_kb);
-  s.state_txn_ops = static_cast<int>(site->Whole("state_txn_ops", 3, 1000, defaults.state_txn_ops));
+  s.state.requests_per_s = site->Number("state_rps", 1, 1e6, defaults.state.requests_per_s);
+  s.state.changes_per_s = site->Number("state_write_rps", 1, 1e6, defaults.state.changes_per_s);
+  s.state.value_kb = site->Number("state_value_kb", 1, 64, defaults.state.value_kb);
+  s.state.mutations =
+      static_cast<int>(site->Whole("state_txn_ops", 3, 1000, defaults.state.mutations));
   s.cloud_rps = site->Number("cloud_rps", 0.1, 1e4, defaults.cloud_rps);
   s.cloud_list_lag = span("cloud_list_lag_s", 0, 120, defaults.cloud_list_lag);
   s.quota_mem_mb = site->Number("controller_mem_mb", 16, 1e6, defaults.quota_mem_mb);
--- a/src/core/leader/record_writer.cpp
+++ b/src/core/leader/record_writer.cpp
@@ -23,7 +23,7 @@
 constexpr size_t kProgressItemOverheadBytes = 48;
 
 size_t MaxPageBytes(const PlatformSettings& settings) {
-  return static_cast<size_t>(settings.state_value_kb * 1024 * kPageFill);
+  return static_cast<size_t>(settings.state.value_kb * 1024 * kPageFill);
 }
 
 MachineRecord ToMachineRecord(const Machine& machine) {
@@ -158,7 +158,7 @@
 }
 
 size_t RecordWriter::MaxMutations() const {
-  return static_cast<size_t>(std::max(kMinMutationsPerTransaction, settings().state_txn_ops));
+  return static_cast<size_t>(std::max(kMinMutationsPerTransaction, settings().state.mutations));
 }
 
 bool RecordWriter::HasRoom(const Batch& batch, size_t mutations) const {
--- a/src/core/leader/write_budget.cpp
+++ b/src/core/leader/write_budget.cpp
@@ -18,10 +18,10 @@
 WriteBudget::WriteBudget(const PlatformSettings& settings, Micros now)
     : settings_(settings), tokens_(RefillRate()), refilled_at_(now) {}
 
-double WriteBudget::RefillRate() const { return settings_.state_write_rps * kRefillShare; }
+double WriteBudget::RefillRate() const { return settings_.state.changes_per_s * kRefillShare; }
 
 void WriteBudget::Refill(Micros now) {
-  const double burst = settings_.state_write_rps * kBurstShare;
+  const double burst = settings_.state.changes_per_s * kBurstShare;
   tokens_ = std::min(burst, tokens_ + RefillRate() * (now - refilled_at_).ToSeconds());
   refilled_at_ = now;
 }
--- a/src/core/model/settings.h
+++ b/src/core/model/settings.h
@@ -1,6 +1,7 @@
 // Settings of a controller: those of the platform and those of the operators.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,15 @@
   double share = 0;
 };
 
+// Limits of the state service.
+struct StateServiceLimits {
+  double requests_per_s = 100;
+  double changes_per_s = 10;  // mutations of all transactions
+  double value_kb = 8;
+  int mutations = 8;  // of one transaction
+  size_t ValueBytes() const { return static_cast<size_t>(value_kb * 1024); }
+};
+
 // Settings that the platform provides.
 struct PlatformSettings {
   std::string member;
@@ -39,8 +49,7 @@
   std::vector<Team> teams;
   std::vector<Objective> objectives;
   Micros heartbeat_interval, agent_lease, gang_start_timeout, gang_failure_timeout, cancel_deadline;
-  double state_rps = 100, state_write_rps = 10, state_value_kb = 8;
-  int state_txn_ops = 8;
+  StateServiceLimits state;
   double cloud_rps = 5;
   Micros cloud_list_lag;
   double quota_mem_mb = 64;
--- a/src/rehearsal/nodes.cpp
+++ b/src/rehearsal/nodes.cpp
@@ -27,7 +27,7 @@
   n.controller = std::make_unique<Controller>(s, options);
   n.callers.clear();
   n.state_rate_limiter =
-      store::RateLimiter(s.state_rps * 0.9 / static_cast<double>(nodes_.size()), now_);
+      store::RateLimiter(s.state.requests_per_s * 0.9 / static_cast<double>(nodes_.size()), now_);
   Schedule(now_ + RandomDuration(0.001, 0.1),
            [this, index, incarnation = n.incarnation] { TickNode(index, incarnation); });
 }
--- a/src/rehearsal/site.cpp
+++ b/src/rehearsal/site.cpp
@@ -71,8 +71,8 @@
   w.Put("gang_peer_s", s.gang_failure_timeout.ToSeconds())
       .Put("cancel_s", s.cancel_deadline.ToSeconds())
       .End();
-  w.Key("state").Begin().Put("rps", s.state_rps).Put("write_rps", s.state_write_rps);
-  w.Put("value_kb", s.state_value_kb).Put("txn_ops", s.state_txn_ops).End();
+  w.Key("state").Begin().Put("rps", s.state.requests_per_s).Put("write_rps", s.state.changes_per_s);
+  w.Put("value_kb", s.state.value_kb).Put("txn_ops", s.state.mutations).End();
   w.Key("cloud").Begin().Put("rps", s.cloud_rps);
   w.Put("list_lag_s", s.cloud_list_lag.ToSeconds()).End();
   w.Key("quota")
@@ -88,8 +88,8 @@
   std::filesystem::create_directories(dir);
   const PlatformSettings& s = scenario_.site;
   std::ofstream(dir + "/state.yaml")
-      << "limits:\n  rps: " << s.state_rps << "\n  write_rps: " << s.state_write_rps
-      << "\n  value_kb: " << s.state_value_kb << "\n  txn_ops: " << s.state_txn_ops << "\n";
+      << "limits:\n  rps: " << s.state.requests_per_s << "\n  write_rps: " << s.state.changes_per_s
+      << "\n  value_kb: " << s.state.value_kb << "\n  txn_ops: " << s.state.mutations << "\n";
   std::vector<site::Command> out;
   AddStateCommands(&out);
   for (size_t i = 0; i < node_addresses_.size(); ++i) {
--- a/src/rehearsal/state.cpp
+++ b/src/rehearsal/state.cpp
@@ -83,10 +83,10 @@
 
 void World::StartState() {
   store::Limits limits;
-  limits.requests_per_s = scenario_.site.state_rps;
-  limits.changes_per_s = scenario_.site.state_write_rps;
-  limits.value_bytes = static_cast<size_t>(scenario_.site.state_value_kb * 1024);
-  limits.commit_changes = static_cast<size_t>(scenario_.site.state_txn_ops);
+  limits.requests_per_s = scenario_.site.state.requests_per_s;
+  limits.changes_per_s = scenario_.site.state.changes_per_s;
+  limits.value_bytes = scenario_.site.state.ValueBytes();
+  limits.commit_changes = static_cast<size_t>(scenario_.site.state.mutations);
   state_ = std::make_unique<store::StateMachine>(limits, std::move(disk_), now_);
   ProcessStateEffects();
 }
--- a/src/scale/core/plan.cpp
+++ b/src/scale/core/plan.cpp
@@ -58,8 +58,8 @@
   s.gang_start_timeout = Seconds(30);
   s.gang_failure_timeout = Seconds(6);
   s.cancel_deadline = Seconds(52);
-  s.state_rps = 900;
-  s.state_write_rps = 60;
+  s.state.requests_per_s = 900;
+  s.state.changes_per_s = 60;
   s.cloud_rps = 10;
   s.cloud_list_lag = Seconds(3);
   s.quota_mem_mb = 512;
