Log and count transactions that the state service refuses as too large

Cause: a refusal for size (400) looked like any other failed write. Neither the log nor a metric showed that, or which record it concerned, so a service that records nothing any more was told from a slow one only by reading its requests. Change: a refusal for size or for the number of mutations is an outcome of its own (StateResponse::Outcome::kTooLarge), logged with the number of mutations and the largest value and its key, and counted in badgershore_state_refused_transactions_total. It is handled as before.

--- a/src/adapters/controller_server.cpp
+++ b/src/adapters/controller_server.cpp
@@ -227,6 +227,7 @@
 
 http::ServerResponse ControllerServer::HandleMetrics() {
   metrics_.state = state_.traffic();
+  metrics_.refused_transactions = core_.refused_transactions();
   metrics_.unconfirmed_cancellations = core_.unconfirmed_cancellations();
   std::optional<LeaderGauges> leader;
   if (core_.leader()) leader = core_.leader()->Gauges(io::Loop::Now());
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -45,6 +45,7 @@
   AddCounter("badgershore_state_requests_total", state.requests, &out);
   AddCounter("badgershore_state_sent_bytes_total", state.sent, &out);
   AddCounter("badgershore_state_received_bytes_total", state.received, &out);
+  AddCounter("badgershore_state_refused_transactions_total", refused_transactions, &out);
   AddMetric("badgershore_unconfirmed_cancellations", "gauge",
             static_cast<double>(unconfirmed_cancellations), &out);
   AddMetric("badgershore_loop_longest_turn_seconds", "gauge", longest_turn.ToSeconds(), &out);
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -20,6 +20,7 @@
   uint64_t user_requests = 0;
   uint64_t cloud_calls = 0;
   uint64_t unconfirmed_cancellations = 0;  // recorded, but their users have not been told yet
+  uint64_t refused_transactions = 0;  // by the state service, as too large or malformed
   http::Traffic state;                     // requests to the state service, including watches
   stats::Durations user_response_times;    // response times to users since the last log line
 
--- a/src/core/controller/controller.cpp
+++ b/src/core/controller/controller.cpp
@@ -185,6 +185,7 @@
 
 void Controller::OnStateResponse(Micros now, RequestId id, StateResponse response) {
   connectivity_.OnStateResponse(now, response);
+  refused_transactions_ += response.outcome == StateResponse::Outcome::kTooLarge;
   outbox_.Deliver(now, id, response);
   previous_leader_.reset();
 }
--- a/src/core/controller/controller.h
+++ b/src/core/controller/controller.h
@@ -52,6 +52,8 @@
   bool leads() const { return election_->leads(); }
   // Recorded cancellations that users have not been told of yet.
   size_t unconfirmed_cancellations() const { return fence_->size(); }
+  // Transactions that the state service has refused as too large or malformed.
+  uint64_t refused_transactions() const { return refused_transactions_; }
   Effects TakeEffects() { return std::exchange(outbox_.effects, Effects{}); }
   // Null before the first tick.
   const membership::Members* members() const { return peers_.members(); }
@@ -90,6 +92,7 @@
   // Leader of the term that just ended, kept until no call to it can be on the stack.
   std::unique_ptr<Leader> previous_leader_;
   int64_t time_of_day_ms_ = 0;
+  uint64_t refused_transactions_ = 0;
   Micros next_status_at_;
   bool shutting_down_ = false;
   Micros handover_deadline_;  // when the handover stops waiting for writes in flight
--- a/src/core/leader/record_writer.cpp
+++ b/src/core/leader/record_writer.cpp
@@ -78,6 +78,9 @@
 
   StateRequest request;  // empty once sent
   size_t mutations = 0;  // tokens spent of the write budget
+  // Upper bound of the size of the largest value, and its key.
+  size_t largest_value_bytes = 0;
+  std::string largest_key;
   bool has_machine_types = false;
   std::vector<std::string> job_ends;
   std::vector<PageWrite> pages;
@@ -236,6 +239,10 @@
   const bool holds_machines = records == &machine_pages_;
   const bool deleted = page->items.empty();
   batch->pages.push_back({records, page, deleted, page->urgent, {}, {}});
+  if (page->bytes > batch->largest_value_bytes) {
+    batch->largest_value_bytes = page->bytes;
+    batch->largest_key = page->key;
+  }
   for (const std::string& item : page->items) {
     if (holds_machines) {
       batch->pages.back().machines.push_back(item);
@@ -356,12 +363,19 @@
 void RecordWriter::OnFailed(Micros now, const Batch& batch, const StateResponse& response) {
   next_write_at_ = now + kRetryInterval;
   const bool refused = response.outcome == StateResponse::Outcome::kRefused;
+  if (response.outcome == StateResponse::Outcome::kTooLarge) LogRefusal(batch);
   if (refused && !response.rate_limited) write_budget_.Refund(batch.mutations);
   if (batch.has_machine_types) machine_types_dirty_ = true;
   RequeueJobEnds(batch, response);
   RequeuePages(now, batch, response);
 }
 
+void RecordWriter::LogRefusal(const Batch& batch) const {
+  outbox()->Info("the state service refused a transaction as too large: " +
+                 std::to_string(batch.mutations) + " mutations, largest value at most " +
+                 std::to_string(batch.largest_value_bytes) + " bytes (" + batch.largest_key + ")");
+}
+
 void RecordWriter::RequeueJobEnds(const Batch& batch, const StateResponse& response) {
   // In reverse, so that they keep their order at the front of the queue.
   for (auto job_end = batch.job_ends.rbegin(); job_end != batch.job_ends.rend(); ++job_end) {
--- a/src/core/leader/record_writer.h
+++ b/src/core/leader/record_writer.h
@@ -64,6 +64,7 @@
   void OnCommitted(Micros now, const Batch& batch, uint64_t revision);
   void OnConflict(Micros now, const Batch& batch, const StateResponse& response);
   void OnFailed(Micros now, const Batch& batch, const StateResponse& response);
+  void LogRefusal(const Batch& batch) const;
   void RequeueJobEnds(const Batch& batch, const StateResponse& response);
   void RequeuePages(Micros now, const Batch& batch, const StateResponse& response);
   void CheckJobEnd(const std::string& job);
--- a/src/core/model/effects.h
+++ b/src/core/model/effects.h
@@ -44,8 +44,20 @@
   bool deleted = false;
 };
 struct StateResponse {
-  // kRefused: certainly not carried out. kUnknown: may have been carried out, or may be later.
-  enum class Outcome { kOk, kNotFound, kConflict, kInvalid, kCompacted, kRefused, kUnknown };
+  // kRefused: certainly not carried out; may succeed later. kUnknown: may have been carried out, or
+  // may be later. kTooLarge: a transaction that exceeds a limit (of a value's size, of the number
+  // of mutations or of the total size) or is malformed. It was certainly not carried out, and would
+  // be refused again.
+  enum class Outcome {
+    kOk,
+    kNotFound,
+    kConflict,
+    kInvalid,
+    kTooLarge,
+    kCompacted,
+    kRefused,
+    kUnknown
+  };
   Outcome outcome = Outcome::kUnknown;
   std::vector<Entry> entries;
   std::vector<std::string> failed_keys;
--- a/src/wire/platform_messages.cpp
+++ b/src/wire/platform_messages.cpp
@@ -170,6 +170,13 @@
   return response->lease != 0;
 }
 
+// A transaction that attaches a key to a lease gets the same status once the lease has expired.
+bool ExceedsLimit(const StateRequest& request) {
+  return request.kind == StateRequest::Kind::kCompareAndSwap &&
+         std::none_of(request.mutations.begin(), request.mutations.end(),
+                      [](const Mutation& mutation) { return mutation.lease != 0; });
+}
+
 }  // namespace
 
 Call FormatCloudRequest(const CloudRequest& request) {
@@ -279,6 +286,9 @@
       if (request.kind == Kind::kWatch) valid = ParseChanges(body, &response);
       if (!valid) response.outcome = Outcome::kUnknown;
       break;
+    case 400:
+      response.outcome = ExceedsLimit(request) ? Outcome::kTooLarge : Outcome::kInvalid;
+      break;
     case 404:
       response.outcome = Outcome::kNotFound;
       break;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -171,6 +171,24 @@
   EXPECT_EQ(c.failed_keys[0], "ctl/term");
 }
 
+// Guards against a refusal for size that looks like a lost response, after which the same
+// transaction is sent again.
+TEST(StateResponses, RefusalForSizeIsAnOutcomeOfItsOwn) {
+  using Outcome = StateResponse::Outcome;
+  StateRequest commit;
+  commit.kind = StateRequest::Kind::kCompareAndSwap;
+  commit.mutations = {{"fleet/0", false, FleetPage{}, 0}};
+  EXPECT_EQ(ParseStateResponse(commit, 400, "{}").outcome, Outcome::kTooLarge);
+  EXPECT_EQ(ParseStateResponse(commit, 429, "{}").outcome, Outcome::kRefused);
+  EXPECT_EQ(ParseStateResponse(commit, 500, "{}").outcome, Outcome::kInvalid);
+  // The same status means that the lease of a key has expired.
+  commit.mutations[0].lease = 7;
+  EXPECT_EQ(ParseStateResponse(commit, 400, "{}").outcome, Outcome::kInvalid);
+  StateRequest grant;
+  grant.kind = StateRequest::Kind::kGrantLease;
+  EXPECT_EQ(ParseStateResponse(grant, 400, "{}").outcome, Outcome::kInvalid);
+}
+
 TEST(Peers, CellMessageRoundTrip) {
   limits::CellMessage message;
   message.from = "north";
