Divide what the state service refuses as too large, and never send it again unchanged

Cause: a page of machines or progress that had been written under larger limits was refused with 400, taken for a failed write, marked urgent and queued again whole, so that it was in every later transaction. Limits came from the settings' present ones alone, and no page was ever divided. Change: StateLimits knows what the service accepts. The settings' state.next is read. A refusal lowers the limits, to the announced ones first, else step by step until the record or the number of changes at fault is found; a 429 lowers the rate and the size of the next transaction. PagedRecords divides a page before it is written. The pages that its items moved to are written first or in the same transaction, so an item stands once or, for a moment, twice, and counts as long as any page lists it; a leader that reads it twice removes one copy. Pages are divided ahead of announced limits while changes are to spare. A record that can't be written at all waits alone until it changes, and is told in the log and in badgershore_unwritable_records. Why this works: each refusal lowers a limit or sets one record aside, so finitely many follow a fall, and the next transaction always differs.

--- a/src/adapters/controller_server.cpp
+++ b/src/adapters/controller_server.cpp
@@ -227,6 +227,9 @@
 
 http::ServerResponse ControllerServer::HandleMetrics() {
   metrics_.state = state_.traffic();
+  metrics_.state_value_bytes = core_.state_limits().value_bytes();
+  metrics_.state_mutations = core_.state_limits().mutations();
+  metrics_.state_changes_per_s = core_.state_limits().changes_per_s();
   metrics_.refused_transactions = core_.refused_transactions();
   metrics_.unconfirmed_cancellations = core_.unconfirmed_cancellations();
   std::optional<LeaderGauges> leader;
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -26,6 +26,8 @@
             static_cast<double>(leader.uncertain_millicores) / kMillicoresPerCore, out);
   AddMetric("badgershore_uncertain_placements", "gauge",
             static_cast<double>(leader.uncertain_placements), out);
+  AddMetric("badgershore_unwritable_records", "gauge",
+            static_cast<double>(leader.unwritable_records), out);
   AddMetric("badgershore_cancellations_age_seconds", "gauge", leader.cancellations_age.ToSeconds(),
             out);
 }
@@ -45,6 +47,11 @@
   AddCounter("badgershore_state_requests_total", state.requests, &out);
   AddCounter("badgershore_state_sent_bytes_total", state.sent, &out);
   AddCounter("badgershore_state_received_bytes_total", state.received, &out);
+  AddMetric("badgershore_state_value_limit_bytes", "gauge", static_cast<double>(state_value_bytes),
+            &out);
+  AddMetric("badgershore_state_transaction_limit", "gauge", static_cast<double>(state_mutations),
+            &out);
+  AddMetric("badgershore_state_changes_limit", "gauge", state_changes_per_s, &out);
   AddCounter("badgershore_state_refused_transactions_total", refused_transactions, &out);
   AddMetric("badgershore_unconfirmed_cancellations", "gauge",
             static_cast<double>(unconfirmed_cancellations), &out);
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -20,9 +20,13 @@
   uint64_t user_requests = 0;
   uint64_t cloud_calls = 0;
   uint64_t unconfirmed_cancellations = 0;  // recorded, but their users have not been told yet
-  uint64_t refused_transactions = 0;  // by the state service, as too large or malformed
-  http::Traffic state;                     // requests to the state service, including watches
-  stats::Durations user_response_times;    // response times to users since the last log line
+  // Limits of the state service as this controller takes them: of a value, of a transaction's
+  // mutations, of mutations a second.
+  size_t state_value_bytes = 0, state_mutations = 0;
+  double state_changes_per_s = 0;
+  uint64_t refused_transactions = 0;     // by the state service, as too large or malformed
+  http::Traffic state;                   // requests to the state service, including watches
+  stats::Durations user_response_times;  // response times to users since the last log line
 
   // Formats the counters, the gauges of the leader (if this controller leads) and the loop's
   // longest turn.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -50,6 +50,10 @@
     return Find(object_, field) ? Number(field, 0, 1e12) : default_value;
   }
   Micros Duration(const char* field) const { return Seconds(Number(field, 0.001, 1e6)); }
+  bool Has(const char* field) const { return Find(object_, field) != nullptr; }
+  double NumberOr(const char* field, double min, double max, double default_value) const {
+    return Has(field) ? Number(field, min, max) : default_value;
+  }
   JsonReader Object(const char* field) const {
     const Value* value = Find(object_, field);
     if (!value || !value->IsObject()) Fail(field, "an object");
@@ -72,6 +76,34 @@
   std::string file_, path_;
 };
 
+constexpr double kMaxRate = 1e9;
+constexpr double kMinChangesPerSecond = 0.1;
+constexpr double kMinValueKb = 0.1, kMaxValueKb = 1e6;
+// A transaction that elects a leader, or records a job's end, has two.
+constexpr double kMinNextMutations = 2, kMinMutations = 3, kMaxMutations = 1e6;
+
+StateServiceLimits ReadStateLimits(const JsonReader& reader) {
+  StateServiceLimits limits;
+  limits.requests_per_s = reader.Number("rps", 1, kMaxRate);
+  limits.changes_per_s = reader.Number("write_rps", kMinChangesPerSecond, kMaxRate);
+  limits.value_kb = reader.Number("value_kb", kMinValueKb, kMaxValueKb);
+  limits.mutations = static_cast<int>(reader.Number("txn_ops", kMinMutations, kMaxMutations));
+  return limits;
+}
+
+// A limit that is absent stays as it is.
+StateServiceLimits ReadNextStateLimits(const JsonReader& reader,
+                                       const StateServiceLimits& present) {
+  StateServiceLimits limits;
+  limits.requests_per_s = reader.NumberOr("rps", 1, kMaxRate, present.requests_per_s);
+  limits.changes_per_s =
+      reader.NumberOr("write_rps", kMinChangesPerSecond, kMaxRate, present.changes_per_s);
+  limits.value_kb = reader.NumberOr("value_kb", kMinValueKb, kMaxValueKb, present.value_kb);
+  limits.mutations = static_cast<int>(
+      reader.NumberOr("txn_ops", kMinNextMutations, kMaxMutations, present.mutations));
+  return limits;
+}
+
 }  // namespace
 
 std::string ReadFile(const std::string& file) {
@@ -129,10 +161,8 @@
     workers.Fail("cancel_s", "more than lease_s, or a cancellation can't be guaranteed");
   }
   const JsonReader state = params.Object("state");
-  s.state.requests_per_s = state.Number("rps", 1, 1e9);
-  s.state.changes_per_s = state.Number("write_rps", 0.1, 1e9);
-  s.state.value_kb = state.Number("value_kb", 0.1, 1e6);
-  s.state.mutations = static_cast<int>(state.Number("txn_ops", 3, 1e6));
+  s.state = ReadStateLimits(state);
+  if (state.Has("next")) s.next_state = ReadNextStateLimits(state.Object("next"), s.state);
   const JsonReader cloud = params.Object("cloud");
   s.cloud_rps = cloud.Number("rps", 0.01, 1e9);
   s.cloud_list_lag = Seconds(cloud.Number("list_lag_s", 0, 1e6));
--- a/src/core/controller/controller.cpp
+++ b/src/core/controller/controller.cpp
@@ -18,6 +18,7 @@
 Controller::Controller(PlatformSettings settings, Options options)
     : settings_(std::move(settings)),
       options_(std::move(options)),
+      state_limits_(settings_.state, settings_.next_state),
       machine_types_(&settings_, &options_),
       connectivity_(&outbox_),
       peers_(&settings_, &connectivity_, &outbox_) {
@@ -33,6 +34,8 @@
   callbacks.on_lost = [this](Micros) { OnLeadershipLost(); };
   callbacks.on_control_entry = [this](Micros, const Entry& entry) {
     machine_types_.OnControlEntry(entry);
+    const auto* limits = std::get_if<LimitsRecord>(&entry.value);
+    if (limits && !entry.deleted) state_limits_.Load(*limits);
   };
   election_ = std::make_unique<Election>(&outbox_, settings_.member, position, options_.lease,
                                          std::move(callbacks));
@@ -64,6 +67,7 @@
   context.settings = &settings_;
   context.options = &options_;
   context.election = election_.get();
+  context.state_limits = &state_limits_;
   context.types = machine_types_.types();
   context.types_known = [this] { return machine_types_.complete(); };
   leader_ = std::make_unique<Leader>(std::move(context), now, time_of_day_ms_);
--- a/src/core/controller/controller.h
+++ b/src/core/controller/controller.h
@@ -14,6 +14,7 @@
 #include "core/election/election.h"
 #include "core/leader/leader.h"
 #include "core/outbox/outbox.h"
+#include "core/outbox/state_limits.h"
 
 namespace badgershore {
 
@@ -52,6 +53,7 @@
   bool leads() const { return election_->leads(); }
   // Recorded cancellations that users have not been told of yet.
   size_t unconfirmed_cancellations() const { return fence_->size(); }
+  const StateLimits& state_limits() const { return state_limits_; }
   // Transactions that the state service has refused as too large or malformed.
   uint64_t refused_transactions() const { return refused_transactions_; }
   Effects TakeEffects() { return std::exchange(outbox_.effects, Effects{}); }
@@ -82,6 +84,7 @@
   PlatformSettings settings_;
   Options options_;
   Outbox outbox_;
+  StateLimits state_limits_;
   MachineTypeCatalog machine_types_;
   Connectivity connectivity_;
   PeerView peers_;
--- a/src/core/leader/leader.h
+++ b/src/core/leader/leader.h
@@ -44,6 +44,7 @@
   int machines_with_unknown_tasks = 0;
   int64_t uncertain_millicores = 0;
   uint64_t uncertain_placements = 0;  // of limited teams' tasks, while use was uncertain
+  size_t unwritable_records = 0;      // exceed the state service's limits
   Micros cancellations_age;           // all cancellations older than this are known
 };
 
--- a/src/core/leader/leader_component.h
+++ b/src/core/leader/leader_component.h
@@ -12,6 +12,7 @@
 #include "core/model/settings.h"
 #include "core/model/types.h"
 #include "core/outbox/outbox.h"
+#include "core/outbox/state_limits.h"
 
 namespace badgershore {
 
@@ -45,6 +46,7 @@
   const PlatformSettings* settings = nullptr;
   const Options* options = nullptr;
   Election* election = nullptr;
+  StateLimits* state_limits = nullptr;
   const LeaderAuthority* authority = nullptr;
   std::map<std::string, MachineType>* types = nullptr;  // complete once `types_known`
   std::function<bool()> types_known;
@@ -90,6 +92,7 @@
   const PlatformSettings& settings() const { return *context_->settings; }
   const Options& options() const { return *context_->options; }
   Election* election() const { return context_->election; }
+  StateLimits& state_limits() const { return *context_->state_limits; }
   const LeaderAuthority& authority() const { return *context_->authority; }
   std::map<std::string, MachineType>& types() const { return *context_->types; }
   bool types_known() const { return context_->types_known(); }
--- a/src/core/leader/record_writer.cpp
+++ b/src/core/leader/record_writer.cpp
@@ -7,6 +7,7 @@
 #include "core/leader/heartbeat_handler.h"
 #include "core/leader/job_table.h"
 #include "core/leader/machine_table.h"
+#include "core/model/record_size.h"
 
 namespace badgershore {
 namespace {
@@ -16,81 +17,41 @@
 // A page that is not urgent collects changes for this long before it is written.
 constexpr Micros kDirtyPageDelay = Millis(1500);
 constexpr Micros kRetryInterval = Millis(300);
-constexpr int kMinMutationsPerTransaction = 3;
 // Share of the state service's largest value that a page's items may take.
 constexpr double kPageFill = 0.85;
-constexpr size_t kMachineItemOverheadBytes = 64;
-constexpr size_t kProgressItemOverheadBytes = 48;
+constexpr size_t kPageOverheadBytes = 32;
+constexpr size_t kJobEndMutations = 2;
+constexpr size_t kJobEndBytes = 256;
 
-size_t MaxPageBytes(const PlatformSettings& settings) {
-  return static_cast<size_t>(settings.state.value_kb * 1024 * kPageFill);
+PageLimits PageLimitsFor(size_t value_bytes) {
+  return {static_cast<size_t>(static_cast<double>(value_bytes) * kPageFill),
+          value_bytes - std::min(value_bytes, kPageOverheadBytes)};
 }
 
 MachineRecord ToMachineRecord(const Machine& machine) {
   return {machine.id, machine.endpoint, machine.type_name, machine.zone, machine.spot};
 }
 
-// Upper bounds of the size that an item takes in its page's value.
-size_t MachineItemBytes(const MachineRecord& r) {
-  return kMachineItemOverheadBytes + r.id.size() + r.endpoint.size() + r.type.size() +
-         r.zone.size();
-}
-
-size_t ProgressItemBytes(const Job& job, int chunk) {
-  const int tasks = std::min(kChunkTasks, job.spec.tasks - chunk * kChunkTasks);
-  return kProgressItemOverheadBytes + job.spec.id.size() + static_cast<size_t>(tasks + 3) / 4;
+size_t ChunkBytes(const Job& job, int chunk) {
+  return ProgressItemBytes(job.spec.id,
+                           std::min(kChunkTasks, job.spec.tasks - chunk * kChunkTasks));
 }
 
 bool Contains(const std::vector<std::string>& list, const std::string& key) {
   return std::find(list.begin(), list.end(), key) != list.end();
 }
 
-// Whether the response to the failed transaction shows that this key's record is unchanged from
-// what the batch expected, so that the write may be retried without reading the record again.
-bool IsUnaffected(const StateResponse& response, const std::string& key) {
-  using Outcome = StateResponse::Outcome;
-  if (response.outcome == Outcome::kRefused) return true;
-  return response.outcome == Outcome::kConflict && !response.failed_keys.empty() &&
-         !Contains(response.failed_keys, key);
-}
-
-bool IsJobEndUnaffected(const StateResponse& response, const std::string& job) {
-  return IsUnaffected(response, keys::kJob + job) && IsUnaffected(response, keys::kJobEnd + job);
-}
-
 }  // namespace
 
-// A transaction, and the data that is needed to process its response.
-struct RecordWriter::Batch {
-  struct CompletedTasks {
-    std::string job;
-    std::vector<int> tasks;
-  };
-  struct PageWrite {
-    PagedRecords* records = nullptr;
-    PagedRecords::Page* page = nullptr;
-    bool deleted = false;
-    bool urgent = false;
-    // Durable once the page is written.
-    std::vector<std::string> machines;
-    std::vector<CompletedTasks> tasks;
-  };
-
-  StateRequest request;  // empty once sent
-  size_t mutations = 0;  // tokens spent of the write budget
-  // Upper bound of the size of the largest value, and its key.
-  size_t largest_value_bytes = 0;
-  std::string largest_key;
-  bool has_machine_types = false;
-  std::vector<std::string> job_ends;
-  std::vector<PageWrite> pages;
-};
-
 RecordWriter::RecordWriter(const LeaderContext* context, Micros now)
     : LeaderComponent(context),
-      machine_pages_(keys::kFleet, MaxPageBytes(settings())),
-      progress_pages_(keys::kProgress, MaxPageBytes(settings())),
-      write_budget_(settings(), now) {}
+      machine_pages_(keys::kFleet, PageLimitsFor(state_limits().value_bytes()),
+                     [](const std::string&, PagedRecords::Page*) {}),
+      progress_pages_(keys::kProgress, PageLimitsFor(state_limits().value_bytes()),
+                      [this](const std::string& item, PagedRecords::Page* page) {
+                        OnProgressMoved(item, page);
+                      }),
+      write_budget_(state_limits(), now) {}
 
 void RecordWriter::Load(Micros now, const Entry& entry) {
   if (const auto* progress = std::get_if<ProgressPage>(&entry.value)) {
@@ -99,7 +60,7 @@
   } else if (const auto* fleet = std::get_if<FleetPage>(&entry.value)) {
     PagedRecords::Page* page = machine_pages_.AddExisting(entry.key, entry.version);
     for (const MachineRecord& record : fleet->machines) {
-      machine_pages_.AddItem(page, record.id, MachineItemBytes(record));
+      machine_pages_.AddItem(page, record.id, MachineItemBytes(record), now);
       machine_table().Load(now, record);
     }
   }
@@ -112,9 +73,8 @@
     // The chunk's job has ended: the page is written without it.
     return progress_pages_.MarkDirty(page, false, now);
   }
-  progress_pages_.AddItem(page, ProgressItem(chunk.job, chunk.chunk),
-                          ProgressItemBytes(*job, chunk.chunk));
-  job->progress_pages[static_cast<size_t>(chunk.chunk)] = page;
+  job->progress_pages[static_cast<size_t>(chunk.chunk)] = progress_pages_.AddItem(
+      page, ProgressItem(chunk.job, chunk.chunk), ChunkBytes(*job, chunk.chunk), now);
   DecodeProgress(chunk.bits, chunk.chunk, kChunkTasks, job->spec.tasks, [&](int task) {
     TaskState& state = job->tasks[static_cast<size_t>(task)];
     if (state.stage != TaskStage::kDone) ++job->done;
@@ -123,6 +83,13 @@
   });
 }
 
+void RecordWriter::OnProgressMoved(const std::string& item, PagedRecords::Page* page) {
+  std::string id;
+  int chunk = 0;
+  Job* job = ParseProgressItem(item, &id, &chunk) ? FindJob(id) : nullptr;
+  if (job) job->progress_pages[static_cast<size_t>(chunk)] = page;
+}
+
 Job* RecordWriter::FindJob(const std::string& id) const {
   const auto it = job_table().jobs().find(id);
   return it == job_table().jobs().end() ? nullptr : it->second.get();
@@ -143,8 +110,8 @@
   if (page) {
     progress_pages_.MarkDirty(page, false, now);
   } else {
-    page = progress_pages_.PutItem(ProgressItem(job->spec.id, chunk),
-                                   ProgressItemBytes(*job, chunk), false, now);
+    page = progress_pages_.PutItem(ProgressItem(job->spec.id, chunk), ChunkBytes(*job, chunk),
+                                   false, now);
   }
 }
 
@@ -158,52 +125,81 @@
 void RecordWriter::PersistMachineTypes(std::map<std::string, MachineType> types, bool changed) {
   machine_types_ = std::move(types);
   machine_types_dirty_ = changed;
+  std::erase_if(refused_types_,
+                [this](const std::string& name) { return !machine_types_.contains(name); });
+}
+
+size_t RecordWriter::CountUnwritable() const {
+  return machine_pages_.CountUnwritable() + progress_pages_.CountUnwritable() +
+         refused_job_ends_.size() + refused_types_.size();
 }
 
-size_t RecordWriter::MaxMutations() const {
-  return static_cast<size_t>(std::max(kMinMutationsPerTransaction, settings().state.mutations));
+// Smaller pages cost more changes. So where the limits are announced to fall, pages get their later
+// size while changes are to spare, and the present one while many machines come up.
+void RecordWriter::ApplyLimits() {
+  const PageLimits limits = PageLimitsFor(state_limits().value_bytes());
+  const size_t later = PageLimitsFor(state_limits().announced_value_bytes()).page_bytes;
+  const size_t preferred = write_budget_.IsScarce() ? limits.page_bytes : later;
+  machine_pages_.SetLimits(limits, preferred);
+  progress_pages_.SetLimits(limits, preferred);
 }
 
-bool RecordWriter::HasRoom(const Batch& batch, size_t mutations) const {
-  const size_t total = batch.request.mutations.size() + mutations;
-  return total <= MaxMutations() && write_budget_.Admits(total);
+bool RecordWriter::HasRoom(const Batch& batch, size_t mutations, size_t bytes) const {
+  return batch.HasRoom(state_limits(), write_budget_, mutations, bytes);
 }
 
 // Writes that a task's start or a response to a user waits for go first.
 void RecordWriter::WriteBatch(Micros now) {
   write_budget_.Refill(now);
   if (write_in_flight_ || now < next_write_at_ || !election()->leads()) return;
-  auto batch = std::make_shared<Batch>();
-  batch->request.kind = StateRequest::Kind::kCompareAndSwap;
-  batch->request.preconditions.push_back({keys::kTerm, election()->term_version()});
+  ApplyLimits();
+  auto batch = std::make_shared<Batch>(election()->term_version());
+  AddLimits(batch.get());
   if (machine_types_dirty_) AddMachineTypes(batch.get());
   AddUrgentMachines(now, batch.get());
   AddJobEnds(batch.get());
-  AddDirtyPages(now, &progress_pages_, batch.get());
-  AddDirtyPages(now, &machine_pages_, batch.get());
-  if (!batch->request.mutations.empty()) Send(std::move(batch));
+  AddDirtyPages(now, &progress_pages_, kDirtyPageDelay, batch.get());
+  AddDirtyPages(now, &machine_pages_, kDirtyPageDelay, batch.get());
+  AddPagesDividedAhead(now, &progress_pages_, batch.get());
+  AddPagesDividedAhead(now, &machine_pages_, batch.get());
+  LogUnwritable();
+  if (!batch->empty()) Send(std::move(batch));
+}
+
+void RecordWriter::AddLimits(Batch* batch) const {
+  const std::optional<LimitsRecord> learned = state_limits().Learned();
+  if (!learned || learned == written_limits_ || !HasRoom(*batch, 1, 0)) return;
+  batch->AddRecord(keys::kStateLimits, *learned);
+  batch->limits = learned;
+}
+
+bool RecordWriter::IsTypeWritten(const MachineType& type) const {
+  const auto written = written_types_.find(type.name);
+  if (written != written_types_.end()) return written->second == type;
+  const auto known = types().find(type.name);
+  return known != types().end() && known->second == type;
 }
 
 // The count is written last, so that a reader of the count finds all types.
 void RecordWriter::AddMachineTypes(Batch* batch) {
-  std::vector<Mutation>& mutations = batch->request.mutations;
   for (const auto& [name, type] : machine_types_) {
-    if (mutations.size() + 2 > MaxMutations()) break;
-    const auto known = types().find(name);
-    if (known != types().end() && known->second == type) continue;
-    mutations.push_back({keys::kType + name, false, type, 0});
-  }
-  if (mutations.size() + 1 < MaxMutations()) {
-    const TypeCountRecord count{static_cast<int>(machine_types_.size())};
-    mutations.push_back({keys::kTypes, false, count, 0});
-    machine_types_dirty_ = false;
+    if (refused_types_.contains(name) || IsTypeWritten(type)) continue;
+    if (!HasRoom(*batch, 1, MaxRecordBytes(type))) return;
+    batch->AddRecord(keys::kType + name, type);
+    batch->machine_types.push_back(type);
   }
-  batch->has_machine_types = true;
+  if (!HasRoom(*batch, 1, 0)) return;
+  const size_t count = machine_types_.size() - refused_types_.size();
+  batch->AddRecord(keys::kTypes, TypeCountRecord{static_cast<int>(count)});
+  batch->has_type_count = true;
+  machine_types_dirty_ = false;
 }
 
 void RecordWriter::AddUrgentMachines(Micros now, Batch* batch) {
+  const size_t page_bytes = PageLimitsFor(state_limits().value_bytes()).page_bytes;
   // With few tokens left only one page is written per interval, so that new machines share it.
-  while ((!write_budget_.IsScarce() || now >= next_machine_pages_at_) && HasRoom(*batch, 1)) {
+  while ((!write_budget_.IsScarce() || now >= next_machine_pages_at_) &&
+         HasRoom(*batch, 1, page_bytes)) {
     PagedRecords::Page* page = machine_pages_.NextToWrite(true, now, {});
     if (!page) return;
     AddPage(now, &machine_pages_, page, batch);
@@ -211,59 +207,50 @@
 }
 
 void RecordWriter::AddJobEnds(Batch* batch) {
-  StateRequest& request = batch->request;
-  while (!job_ends_.empty() && HasRoom(*batch, 2)) {
+  while (!job_ends_.empty() && HasRoom(*batch, kJobEndMutations, kJobEndBytes)) {
     const std::string id = job_ends_.front();
     job_ends_.pop_front();
-    const Job* job = FindJob(id);
-    if (!job) continue;
-    request.preconditions.push_back({keys::kJob + id, job->version});
-    request.preconditions.push_back({keys::kJobEnd + id, 0});
-    request.mutations.push_back(
-        {keys::kJobEnd + id, false, JobEndRecord{false, job->spec.tasks}, 0});
-    request.mutations.push_back({keys::kJob + id, true, {}, 0});
-    batch->job_ends.push_back(id);
+    if (const Job* job = FindJob(id)) batch->AddJobEnd(*job);
   }
 }
 
-void RecordWriter::AddDirtyPages(Micros now, PagedRecords* records, Batch* batch) {
-  while (HasRoom(*batch, 1) && write_budget_.AdmitsDeferrable(batch->request.mutations.size())) {
-    PagedRecords::Page* page = records->NextToWrite(false, now, kDirtyPageDelay);
+void RecordWriter::AddDirtyPages(Micros now, PagedRecords* records, Micros delay, Batch* batch) {
+  const size_t page_bytes = PageLimitsFor(state_limits().value_bytes()).page_bytes;
+  while (HasRoom(*batch, 1, page_bytes) &&
+         write_budget_.AdmitsDeferrable(batch->request.mutations.size())) {
+    PagedRecords::Page* page = records->NextToWrite(false, now, delay);
     if (!page) return;
     AddPage(now, records, page, batch);
   }
 }
 
+// Divides a page that exceeds the limits that are announced or in force, while nothing else has to
+// be written. All parts fit in one transaction, unless the limits have fallen further.
+void RecordWriter::AddPagesDividedAhead(Micros now, PagedRecords* records, Batch* batch) {
+  if (!batch->empty() || write_budget_.IsScarce()) return;
+  const PageLimits later = PageLimitsFor(state_limits().announced_value_bytes());
+  const size_t max_pages = state_limits().mutations();
+  if (!write_budget_.AdmitsDeferrable(max_pages)) return;
+  if (records->DivideAhead(later, max_pages, now)) AddDirtyPages(now, records, {}, batch);
+}
+
 void RecordWriter::AddPage(Micros now, PagedRecords* records, PagedRecords::Page* page,
                            Batch* batch) {
   const bool holds_machines = records == &machine_pages_;
-  const bool deleted = page->items.empty();
-  batch->pages.push_back({records, page, deleted, page->urgent, {}, {}});
-  if (page->bytes > batch->largest_value_bytes) {
-    batch->largest_value_bytes = page->bytes;
-    batch->largest_key = page->key;
-  }
+  Batch::PageWrite& write = batch->AddPage(
+      records, page, holds_machines ? MachinePageValue(*page) : ProgressPageValue(*page));
   for (const std::string& item : page->items) {
     if (holds_machines) {
-      batch->pages.back().machines.push_back(item);
+      write.machines.push_back(item);
     } else {
-      CollectCompletedTasks(item, batch);
+      CollectCompletedTasks(item, &write);
     }
   }
-  // The page's version is a precondition, so that a delayed older write can't undo a newer one.
-  StateRequest& request = batch->request;
-  request.preconditions.push_back({page->key, page->version});
-  if (deleted) {
-    request.mutations.push_back({page->key, true, {}, 0});
-  } else {
-    Record value = holds_machines ? MachinePageValue(*page) : ProgressPageValue(*page);
-    request.mutations.push_back({page->key, false, std::move(value), 0});
-  }
   records->OnSent(page);
   if (holds_machines) next_machine_pages_at_ = now + kMachinePagesInterval;
 }
 
-void RecordWriter::CollectCompletedTasks(const std::string& item, Batch* batch) const {
+void RecordWriter::CollectCompletedTasks(const std::string& item, Batch::PageWrite* write) const {
   std::string id;
   int chunk = 0;
   if (!ParseProgressItem(item, &id, &chunk)) return;
@@ -276,7 +263,7 @@
     if (state.stage != TaskStage::kDone || state.durable) continue;
     completed.tasks.push_back(task);
   }
-  if (!completed.tasks.empty()) batch->pages.back().tasks.push_back(std::move(completed));
+  if (!completed.tasks.empty()) write->tasks.push_back(std::move(completed));
 }
 
 Record RecordWriter::MachinePageValue(const PagedRecords::Page& page) const {
@@ -303,8 +290,8 @@
 }
 
 void RecordWriter::Send(std::shared_ptr<Batch> batch) {
-  batch->mutations = batch->request.mutations.size();
-  write_budget_.Spend(batch->mutations);
+  batch->size.mutations = batch->request.mutations.size();
+  write_budget_.Spend(batch->size.mutations);
   write_in_flight_ = true;
   StateRequest request = std::move(batch->request);
   batch->request = {};
@@ -315,17 +302,23 @@
 }
 
 void RecordWriter::OnWritten(Micros now, const Batch& batch, const StateResponse& response) {
+  using Outcome = StateResponse::Outcome;
   write_in_flight_ = false;
   if (response.ok()) {
     OnCommitted(now, batch, response.revision);
-  } else if (response.outcome == StateResponse::Outcome::kConflict) {
+  } else if (response.outcome == Outcome::kConflict) {
     OnConflict(now, batch, response);
+  } else if (response.outcome == Outcome::kTooLarge) {
+    OnTooLarge(now, batch, response);
   } else {
     OnFailed(now, batch, response);
   }
 }
 
 void RecordWriter::OnCommitted(Micros now, const Batch& batch, uint64_t revision) {
+  state_limits().OnAccepted();
+  if (batch.limits) written_limits_ = batch.limits;
+  for (const MachineType& type : batch.machine_types) written_types_[type.name] = type;
   for (const Batch::PageWrite& write : batch.pages) {
     write.records->OnWritten(write.page, write.deleted ? 0 : revision);
     for (const std::string& id : write.machines) {
@@ -352,28 +345,54 @@
     return election()->StepDown(now, "a later term has begun");
   }
   next_write_at_ = now;
-  if (batch.has_machine_types) machine_types_dirty_ = true;
-  RequeueJobEnds(batch, response);
-  RequeuePages(now, batch, response);
+  Requeue(now, batch, response);
   if (!response.failed_keys.empty()) WriteBatch(now);
 }
 
+// Nothing was written. The next transaction differs from this one, so it is sent at once.
+void RecordWriter::OnTooLarge(Micros now, const Batch& batch, const StateResponse& response) {
+  const TransactionSize& size = batch.size;
+  const StateLimits::Conclusion conclusion = state_limits().OnTooLarge(size);
+  outbox()->Info(
+      "the state service refused a transaction as too large: " + std::to_string(size.mutations) +
+      " mutations, largest value at most " + std::to_string(size.largest_value_bytes) + " bytes (" +
+      size.largest_key + "); limits taken as " + state_limits().Description());
+  write_budget_.Refund(size.mutations);
+  Requeue(now, batch, response);
+  if (conclusion == StateLimits::Conclusion::kRecordRefused) GiveUp(now, batch);
+  next_write_at_ = now;
+  WriteBatch(now);
+}
+
+void RecordWriter::GiveUp(Micros now, const Batch& batch) {
+  outbox()->Log(LogLine::Level::kError, "the state service does not accept the record " +
+                                            batch.size.largest_key +
+                                            "; it is not sent again until it changes");
+  if (batch.limits) written_limits_ = batch.limits;
+  for (const MachineType& type : batch.machine_types) refused_types_.insert(type.name);
+  for (const std::string& id : batch.job_ends) {
+    std::erase(job_ends_, id);
+    refused_job_ends_.insert(id);
+  }
+  for (const Batch::PageWrite& write : batch.pages) write.records->OnRefused(write.page, now);
+}
+
 // The write was refused, or its outcome is unknown. With an unknown outcome it may have been
 // carried out, so the records are read again before the retry.
 void RecordWriter::OnFailed(Micros now, const Batch& batch, const StateResponse& response) {
   next_write_at_ = now + kRetryInterval;
-  const bool refused = response.outcome == StateResponse::Outcome::kRefused;
-  if (response.outcome == StateResponse::Outcome::kTooLarge) LogRefusal(batch);
-  if (refused && !response.rate_limited) write_budget_.Refund(batch.mutations);
-  if (batch.has_machine_types) machine_types_dirty_ = true;
-  RequeueJobEnds(batch, response);
-  RequeuePages(now, batch, response);
+  if (response.rate_limited) {
+    state_limits().OnRateLimited();
+  } else if (response.outcome == StateResponse::Outcome::kRefused) {
+    write_budget_.Refund(batch.size.mutations);
+  }
+  Requeue(now, batch, response);
 }
 
-void RecordWriter::LogRefusal(const Batch& batch) const {
-  outbox()->Info("the state service refused a transaction as too large: " +
-                 std::to_string(batch.mutations) + " mutations, largest value at most " +
-                 std::to_string(batch.largest_value_bytes) + " bytes (" + batch.largest_key + ")");
+void RecordWriter::Requeue(Micros now, const Batch& batch, const StateResponse& response) {
+  if (!batch.machine_types.empty() || batch.has_type_count) machine_types_dirty_ = true;
+  RequeueJobEnds(batch, response);
+  RequeuePages(now, batch, response);
 }
 
 void RecordWriter::RequeueJobEnds(const Batch& batch, const StateResponse& response) {
@@ -398,11 +417,13 @@
 }
 
 void RecordWriter::RequeuePages(Micros now, const Batch& batch, const StateResponse& response) {
-  const bool conflict = response.outcome == StateResponse::Outcome::kConflict;
+  // After a failure whose cause may last, all pages are sent before new records.
+  const bool keeps_urgency = response.outcome == StateResponse::Outcome::kConflict ||
+                             response.outcome == StateResponse::Outcome::kTooLarge;
   for (const Batch::PageWrite& write : batch.pages) {
     const bool version_known = IsUnaffected(response, write.page->key);
     if (write.records == &machine_pages_) next_machine_pages_at_ = now;
-    write.records->OnFailed(write.page, !version_known, write.urgent || !conflict, now);
+    write.records->OnFailed(write.page, !version_known, write.urgent || !keeps_urgency, now);
     if (!version_known) RefreshPageVersion(write.records, write.page);
   }
 }
@@ -422,4 +443,13 @@
                       }));
 }
 
+void RecordWriter::LogUnwritable() {
+  const size_t unwritable = CountUnwritable();
+  if (unwritable == std::exchange(logged_unwritable_, unwritable)) return;
+  outbox()->Log(unwritable > 0 ? LogLine::Level::kError : LogLine::Level::kInfo,
+                std::to_string(unwritable) +
+                    " records can't be written within the state service's limits, taken as " +
+                    state_limits().Description());
+}
+
 }  // namespace badgershore
--- a/src/core/leader/write_budget.cpp
+++ b/src/core/leader/write_budget.cpp
@@ -15,13 +15,13 @@
 
 }  // namespace
 
-WriteBudget::WriteBudget(const PlatformSettings& settings, Micros now)
-    : settings_(settings), tokens_(RefillRate()), refilled_at_(now) {}
+WriteBudget::WriteBudget(const StateLimits& limits, Micros now)
+    : limits_(limits), tokens_(RefillRate()), refilled_at_(now) {}
 
-double WriteBudget::RefillRate() const { return settings_.state.changes_per_s * kRefillShare; }
+double WriteBudget::RefillRate() const { return limits_.changes_per_s() * kRefillShare; }
 
 void WriteBudget::Refill(Micros now) {
-  const double burst = settings_.state.changes_per_s * kBurstShare;
+  const double burst = limits_.changes_per_s() * kBurstShare;
   tokens_ = std::min(burst, tokens_ + RefillRate() * (now - refilled_at_).ToSeconds());
   refilled_at_ = now;
 }
--- a/src/core/leader/write_budget.h
+++ b/src/core/leader/write_budget.h
@@ -3,7 +3,7 @@
 
 #include <cstddef>
 
-#include "core/model/settings.h"
+#include "core/outbox/state_limits.h"
 
 namespace badgershore {
 
@@ -11,8 +11,8 @@
 // the other controllers write too.
 class WriteBudget {
  public:
-  // `settings` must outlive this. Starts with the tokens of one second.
-  WriteBudget(const PlatformSettings& settings, Micros now);
+  // `limits` must outlive this. Starts with the tokens of one second.
+  WriteBudget(const StateLimits& limits, Micros now);
 
   // Adds the tokens for the time since the last call.
   void Refill(Micros now);
@@ -28,7 +28,7 @@
  private:
   double RefillRate() const;  // tokens per second
 
-  const PlatformSettings& settings_;
+  const StateLimits& limits_;
   double tokens_;
   Micros refilled_at_;
 };
--- a/src/core/model/settings.h
+++ b/src/core/model/settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
   std::vector<Objective> objectives;
   Micros heartbeat_interval, agent_lease, gang_start_timeout, gang_failure_timeout, cancel_deadline;
   StateServiceLimits state;
+  // Limits that the state service will have from some later moment on.
+  std::optional<StateServiceLimits> next_state;
   double cloud_rps = 5;
   Micros cloud_list_lag;
   double quota_mem_mb = 64;
--- a/src/core/model/types.h
+++ b/src/core/model/types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -117,9 +118,16 @@
 struct TypeCountRecord {
   int count = 0;
 };
+// Limits of the state service that a leader has learned from refusals, and the configured ones at
+// that time. Sizes in bytes.
+struct LimitsRecord {
+  size_t configured_value_bytes = 0, configured_mutations = 0;
+  size_t value_bytes = 0, mutations = 0;
+  bool operator==(const LimitsRecord&) const = default;
+};
 using Record =
     std::variant<std::monostate, TermRecord, LeaderRecord, JobSpec, JobEndRecord, ProgressPage,
-                 FleetPage, MachineType, TypeCountRecord, limits::QuotaRecord>;
+                 FleetPage, MachineType, TypeCountRecord, limits::QuotaRecord, LimitsRecord>;
 
 namespace keys {
 inline const std::string kControl = "ctl/";
@@ -129,6 +137,7 @@
 inline const std::string kSuccessor = "ctl/next";
 inline const std::string kTypes = "ctl/types";
 inline const std::string kType = "ctl/type/";
+inline const std::string kStateLimits = "ctl/limits";
 inline const std::string kJob = "job/";
 inline const std::string kJobEnd = "end/";
 inline const std::string kProgress = "prog/";
--- /dev/null
+++ b/src/core/outbox/state_limits.cpp
@@ -0,0 +1,114 @@
+#include "core/outbox/state_limits.h"
+
+#include <algorithm>
+
+namespace badgershore {
+namespace {
+
+// After a value was refused, values may be at most this share of it.
+constexpr double kValueStep = 0.75;
+// Smaller values are never refused for their size: a job's description takes as much.
+constexpr size_t kMinValueBytes = 512;
+// One refusal because of the rate may be due to what other controllers write.
+constexpr int kRateLimitedBeforeLowering = 3;
+constexpr double kRateStep = 0.8;
+constexpr double kRateRecoveryStep = 1.01;
+constexpr double kMinChangesPerSecond = 1;
+
+}  // namespace
+
+StateLimits::StateLimits(const StateServiceLimits& configured,
+                         const std::optional<StateServiceLimits>& announced)
+    : configured_(configured),
+      announced_(announced),
+      value_bytes_(configured.ValueBytes()),
+      mutations_(static_cast<size_t>(configured.mutations)),
+      mutations_before_isolation_(mutations_),
+      changes_per_s_(configured.changes_per_s),
+      max_changes_per_s_(changes_per_s_) {}
+
+size_t StateLimits::announced_value_bytes() const {
+  return announced_ ? std::min(value_bytes_, announced_->ValueBytes()) : value_bytes_;
+}
+
+// The service may count a transaction against one second's changes, so more would never be
+// accepted. Smaller transactions also find a place sooner while others write.
+size_t StateLimits::mutations() const {
+  const auto per_second = static_cast<size_t>(changes_per_s_);
+  const size_t allowed = std::min(mutations_, per_second) >> std::min(rate_limited_in_a_row_, 16);
+  return std::max<size_t>(1, allowed);
+}
+
+bool StateLimits::ExceedsAnnounced(const TransactionSize& size) const {
+  return announced_ && (size.mutations > static_cast<size_t>(announced_->mutations) ||
+                        size.largest_value_bytes > announced_->ValueBytes());
+}
+
+void StateLimits::LowerToAnnounced() {
+  value_bytes_ = std::min(value_bytes_, announced_->ValueBytes());
+  mutations_before_isolation_ =
+      std::min(mutations_before_isolation_, static_cast<size_t>(announced_->mutations));
+  mutations_ = std::min(mutations_, mutations_before_isolation_);
+  max_changes_per_s_ = std::min(max_changes_per_s_, announced_->changes_per_s);
+  changes_per_s_ = std::min(changes_per_s_, max_changes_per_s_);
+}
+
+StateLimits::Conclusion StateLimits::OnTooLarge(const TransactionSize& size) {
+  confirmed_ = false;
+  if (ExceedsAnnounced(size) && (value_bytes_ > announced_->ValueBytes() ||
+                                 mutations_ > static_cast<size_t>(announced_->mutations))) {
+    LowerToAnnounced();
+    return Conclusion::kLimitLowered;
+  }
+  if (size.records > 1) {
+    mutations_ = (size.mutations + 1) / 2;
+    return Conclusion::kLimitLowered;
+  }
+  if (size.largest_value_bytes <= kMinValueBytes) return Conclusion::kRecordRefused;
+  // The value was at fault, not the number of mutations.
+  mutations_ = mutations_before_isolation_;
+  const auto step = static_cast<size_t>(static_cast<double>(size.largest_value_bytes) * kValueStep);
+  value_bytes_ = std::min(value_bytes_, std::max(kMinValueBytes, step));
+  return Conclusion::kLimitLowered;
+}
+
+void StateLimits::OnRateLimited() {
+  ++rate_limited_in_a_row_;
+  if (announced_ && announced_->changes_per_s < max_changes_per_s_) {
+    max_changes_per_s_ = announced_->changes_per_s;
+    changes_per_s_ = std::min(changes_per_s_, max_changes_per_s_);
+  } else if (rate_limited_in_a_row_ >= kRateLimitedBeforeLowering) {
+    changes_per_s_ =
+        std::max(std::min(kMinChangesPerSecond, max_changes_per_s_), changes_per_s_ * kRateStep);
+  }
+}
+
+void StateLimits::OnAccepted() {
+  confirmed_ = true;
+  rate_limited_in_a_row_ = 0;
+  changes_per_s_ = std::min(max_changes_per_s_, changes_per_s_ * kRateRecoveryStep);
+}
+
+std::optional<LimitsRecord> StateLimits::Learned() const {
+  const LimitsRecord record{configured_.ValueBytes(), static_cast<size_t>(configured_.mutations),
+                            value_bytes_, mutations_};
+  const bool lowered = record.value_bytes < record.configured_value_bytes ||
+                       record.mutations < record.configured_mutations;
+  return lowered && confirmed_ ? std::optional(record) : std::nullopt;
+}
+
+void StateLimits::Load(const LimitsRecord& record) {
+  if (record.configured_value_bytes != configured_.ValueBytes() ||
+      record.configured_mutations != static_cast<size_t>(configured_.mutations)) {
+    return;
+  }
+  value_bytes_ = std::min(value_bytes_, std::max(kMinValueBytes, record.value_bytes));
+  mutations_ = std::min(mutations_, std::max<size_t>(1, record.mutations));
+}
+
+std::string StateLimits::Description() const {
+  return std::to_string(value_bytes_) + " bytes a value, " + std::to_string(mutations()) +
+         " mutations a transaction, " + std::to_string(changes_per_s_) + " a second";
+}
+
+}  // namespace badgershore
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -66,6 +66,11 @@
     w->EndList();
   }
   void operator()(const TypeCountRecord& r) const { w->Put("count", r.count); }
+  void operator()(const LimitsRecord& r) const {
+    w->Put("of_value", uint64_t{r.configured_value_bytes});
+    w->Put("of_changes", uint64_t{r.configured_mutations});
+    w->Put("value", uint64_t{r.value_bytes}).Put("changes", uint64_t{r.mutations});
+  }
   void operator()(const limits::QuotaRecord& r) const {
     w->Put("number", r.number);
     WriteTeamAmounts(w, "held", r.held);
@@ -190,6 +195,10 @@
     return LeaderRecord{Text(v, "leader"), Count(v, "term")};
   if (key == keys::kQuotaRecord) return ReadQuotaRecord(v);
   if (key == keys::kTypes) return TypeCountRecord{static_cast<int>(Number(v, "count"))};
+  if (key == keys::kStateLimits) {
+    return LimitsRecord{Count(v, "of_value"), Count(v, "of_changes"), Count(v, "value"),
+                        Count(v, "changes")};
+  }
   if (HasPrefix(key, keys::kType)) {
     MachineType t;
     t.name = Text(v, "name");
--- a/tests/compatibility_test.cpp
+++ b/tests/compatibility_test.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 
+#include "core/model/record_size.h"
 #include "peer/messages.h"
 #include "replication/service/codec.h"
 #include "store/disk/archive.h"
@@ -174,6 +175,32 @@
   EXPECT_EQ(ReadRecordAs<limits::QuotaRecord>(keys::kQuotaRecord), expected);
 }
 
+// Earlier versions ignore this record, whose key they do not know.
+TEST(RecordCompatibility, LimitsRecordRoundTrip) {
+  const LimitsRecord record{8192, 8, 2048, 4};
+  wire::Writer writer;
+  wire::PutRecord(&writer, record);
+  const std::string text = writer.Done();
+  EXPECT_EQ(text, R"({"of_value":8192,"of_changes":8,"value":2048,"changes":4})");
+  rapidjson::Document document;
+  ASSERT_TRUE(wire::ParseObject(text, &document));
+  EXPECT_EQ(std::get<LimitsRecord>(wire::ReadRecord(keys::kStateLimits, document)), record);
+}
+
+// Guards against a record that takes more room than was planned for it.
+TEST(RecordSize, IsAnUpperBoundOfEveryStoredRecord) {
+  for (const auto& [key, text] : ReadNamedLines("records.txt")) {
+    rapidjson::Document document;
+    ASSERT_TRUE(wire::ParseObject(text, &document)) << key;
+    EXPECT_GE(MaxRecordBytes(wire::ReadRecord(key, document)), text.size()) << key;
+  }
+  JobSpec spec;
+  spec.image = "a \"quoted\" name\n";
+  wire::Writer writer;
+  wire::PutRecord(&writer, spec);
+  EXPECT_GE(MaxRecordBytes(spec), writer.Done().size());
+}
+
 // ---- Frames between controllers ----
 
 std::string PeerFrame(const std::string& name) { return ReadFixtureBytes("peer_frames.txt", name); }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -40,6 +40,25 @@
   EXPECT_EQ(s.objectives[0].within, Seconds(250));
 }
 
+// The state service may lower its limits; `next` in the settings says to what.
+TEST(Platform, ReadsTheLaterLimitsOfTheStateService) {
+  EXPECT_FALSE(ParsePlatform(kGood, "f.json").next_state);
+  const auto with_next = [](const std::string& next) {
+    std::string text = kGood;
+    const std::string last = "\"txn_ops\":8";
+    return text.replace(text.find(last), last.size(), last + ",\"next\":" + next);
+  };
+  const PlatformSettings s = ParsePlatform(with_next(R"({"value_kb":2.0,"txn_ops":4})"), "f.json");
+  ASSERT_TRUE(s.next_state);
+  EXPECT_EQ(s.next_state->ValueBytes(), 2048u);
+  EXPECT_EQ(s.next_state->mutations, 4);
+  EXPECT_EQ(s.next_state->changes_per_s, 15);
+  EXPECT_FALSE(ParsePlatform(with_next("null"), "f.json").next_state);
+  EXPECT_EQ(
+      PlatformErrorOf(with_next(R"({"value_kb":2.0})"), "\"value_kb\":2.0", "\"value_kb\":-1"),
+      "f.json: params.state.next.value_kb: expected a number from 0.1 to 1e+06");
+}
+
 TEST(Platform, ErrorsNameFileFieldAndExpectedValue) {
   EXPECT_EQ(PlatformErrorOf(kGood, "\"lease_s\":18.0", "\"lease_s\":\"x\""),
             "f.json: params.workers.lease_s: expected a number from 0.001 to 1e+06");
--- a/tests/emulated_site.h
+++ b/tests/emulated_site.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -70,7 +71,9 @@
 // is simulated.
 class EmulatedSite {
  public:
-  EmulatedSite() {
+  // `configure` may change the settings before the controller starts.
+  explicit EmulatedSite(int machines = kMachineCount,
+                        const std::function<void(PlatformSettings*, Options*)>& configure = {}) {
     settings_.member = "m-0";
     settings_.site = "a";
     settings_.zones = {"a"};
@@ -88,15 +91,34 @@
     type_.price = 1;
     type_.spot_price = 1;
     type_.boot = Seconds(40);
-    for (int i = 0; i < kMachineCount; ++i) {
+    if (configure) configure(&settings_, &options_);
+    AddMachines(machines);
+    StartController();
+    Advance(Seconds(8));
+  }
+
+  void AddMachines(int count) {
+    for (int i = 0; i < count; ++i) {
       char id[16];
-      std::snprintf(id, sizeof(id), "n-%06d", i);
+      std::snprintf(id, sizeof(id), "n-%06d", next_machine_++);
       agents_[id].id = id;
     }
-    StartController();
-    Advance(Seconds(8));
   }
 
+  // The machine is gone with its tasks.
+  void LoseMachine(const std::string& id) {
+    std::erase_if(heartbeat_requests_,
+                  [&id](const auto& request) { return request.second->id == id; });
+    agents_.erase(id);
+  }
+
+  std::vector<std::string> Machines() const {
+    std::vector<std::string> ids;
+    for (const auto& [id, agent] : agents_) ids.push_back(id);
+    return ids;
+  }
+
+  // A new controller takes the place of the present one, as after a crash.
   void StartController() {
     controller_ = std::make_unique<Controller>(settings_, options_);
     watches_.clear();
@@ -152,6 +174,16 @@
     return tasks;
   }
 
+  Micros now() const { return now_; }
+  const check::FakeStateService& state() const { return state_; }
+  const Controller& controller() const { return *controller_; }
+
+  // Returns the response to a request that the state service refuses; nullopt: it is carried out.
+  std::function<std::optional<StateResponse>(const StateRequest&)> refuse_state_request =
+      [](const StateRequest&) { return std::nullopt; };
+  // Called after each transaction.
+  std::function<void()> on_transaction = [] {};
+
   // Runs each step, one input to the controller, and sees the effects that it has afterwards.
   std::function<void(const std::function<void()>& step, const Effects& effects)> observe_step =
       [](const std::function<void()>& step, const Effects&) { step(); };
@@ -199,7 +231,7 @@
       heartbeat_requests_.erase(it);
     }
     for (const CommandRequest& r : effects.command_requests) {
-      if (agents_are_silent_) {
+      if (agents_are_silent_ || !agents_.contains(r.machine)) {
         responses_.push_back(
             [this, id = r.id] { controller_->OnCommandResponse(now_ + kTick, id, {}); });
         continue;
@@ -229,7 +261,9 @@
 
   void RespondFromState(const StateRequest& request) {
     if (request.kind == StateRequest::Kind::kWatch) return watches_.push_back({request, now_});
+    if (const auto refusal = refuse_state_request(request)) return Respond(request.id, *refusal);
     StateResponse response = state_.Execute(now_, 0, request);
+    if (request.kind == StateRequest::Kind::kCompareAndSwap && response.ok()) on_transaction();
     if (request.kind == StateRequest::Kind::kGet) {
       auto it = state_.items.find(request.key);
       if (it == state_.items.end()) {
@@ -269,6 +303,7 @@
   std::unique_ptr<Controller> controller_;
   Micros now_ = Seconds(100);
   Micros next_heartbeats_at_;
+  int next_machine_ = 0;
   RequestId last_request_ = 0;
   size_t gang_members_ = 0;
   bool gang_started_ = false;
