Lower the rate of requests to the state service when it refuses them

Change: AdaptiveRate, for requests in StateClient and for changes in StateLimits. It takes the announced limit at the first refusal, else falls by a fifth from the third refusal in a row on, and rises by a hundredth with each accepted request.

--- a/src/adapters/state_client.cpp
+++ b/src/adapters/state_client.cpp
@@ -24,13 +24,20 @@
   return response;
 }
 
+// An equal share for each controller, with some headroom for bursts of other clients.
+double ShareOf(const StateServiceLimits& limits, const PlatformSettings& settings) {
+  constexpr double kUsedShare = 0.9;
+  return limits.requests_per_s * kUsedShare / static_cast<double>(settings.members.size() + 1);
+}
+
 }  // namespace
 
 StateClient::StateClient(io::Loop* loop, const PlatformSettings& settings)
     : loop_(loop),
-      // An equal share for each controller, with some headroom for bursts of other clients.
-      rate_(settings.state.requests_per_s * 0.9 / static_cast<double>(settings.members.size() + 1)),
-      tokens_(rate_),
+      rate_(ShareOf(settings.state, settings),
+            settings.next_state ? std::optional(ShareOf(*settings.next_state, settings))
+                                : std::nullopt),
+      tokens_(rate_.per_second()),
       tokens_updated_at_(io::Loop::Now()),
       last_response_at_(io::Loop::Now()),
       requests_(loop, settings.state_addr, 8, kLimits),
@@ -51,7 +58,8 @@
   ++waiting_for_token_;
   for (;;) {
     const Micros now = io::Loop::Now();
-    tokens_ = std::min(rate_, tokens_ + rate_ * (now - tokens_updated_at_).ToSeconds());
+    const double rate = rate_.per_second();
+    tokens_ = std::min(rate, tokens_ + rate * (now - tokens_updated_at_).ToSeconds());
     tokens_updated_at_ = now;
     if (tokens_ >= 1) {
       tokens_ -= 1;
@@ -65,6 +73,16 @@
   co_return granted;
 }
 
+// A transaction may be refused because of the rate of changes, which its sender takes care of.
+void StateClient::AdaptRate(const StateRequest& request, const StateResponse& response) {
+  if (request.kind == Kind::kCompareAndSwap) return;
+  if (response.rate_limited) {
+    rate_.OnRefused();
+  } else {
+    rate_.OnAccepted();
+  }
+}
+
 io::Task<StateResponse> StateClient::Send(StateRequest request) {
   const bool lease = request.kind == Kind::kRenewLease || request.kind == Kind::kGrantLease ||
                      request.kind == Kind::kRevokeLease;
@@ -95,7 +113,9 @@
   }
   requests_without_response_ = 0;
   last_response_at_ = io::Loop::Now();
-  co_return wire::ParseStateResponse(request, answer.status, answer.body);
+  response = wire::ParseStateResponse(request, answer.status, answer.body);
+  AdaptRate(request, response);
+  co_return response;
 }
 
 }  // namespace badgershore::adapters
--- a/src/adapters/state_client.h
+++ b/src/adapters/state_client.h
@@ -5,6 +5,7 @@
 
 #include "core/model/effects.h"
 #include "core/model/settings.h"
+#include "core/outbox/adaptive_rate.h"
 #include "http/client.h"
 
 namespace badgershore::adapters {
@@ -23,9 +24,10 @@
  private:
   // Returns false if no token was available in time or too many requests wait for one.
   io::Task<bool> WaitForToken();
+  void AdaptRate(const StateRequest& request, const StateResponse& response);
 
   io::Loop* loop_;
-  double rate_;  // requests a second; also the size of the bucket
+  AdaptiveRate rate_;  // requests per second; also the size of the bucket
   double tokens_;
   Micros tokens_updated_at_;
   int waiting_for_token_ = 0;
--- a/src/core/outbox/state_limits.cpp
+++ b/src/core/outbox/state_limits.cpp
@@ -9,11 +9,8 @@
 constexpr double kValueStep = 0.75;
 // Smaller values are never refused for their size: a job's description takes as much.
 constexpr size_t kMinValueBytes = 512;
-// One refusal because of the rate may be due to what other controllers write.
-constexpr int kRateLimitedBeforeLowering = 3;
-constexpr double kRateStep = 0.8;
-constexpr double kRateRecoveryStep = 1.01;
-constexpr double kMinChangesPerSecond = 1;
+// Of the mutations of a transaction, after refusals because of the rate.
+constexpr int kMaxHalvings = 16;
 
 }  // namespace
 
@@ -24,8 +21,8 @@
       value_bytes_(configured.ValueBytes()),
       mutations_(static_cast<size_t>(configured.mutations)),
       mutations_before_isolation_(mutations_),
-      changes_per_s_(configured.changes_per_s),
-      max_changes_per_s_(changes_per_s_) {}
+      changes_(configured.changes_per_s,
+               announced ? std::optional(announced->changes_per_s) : std::nullopt) {}
 
 size_t StateLimits::announced_value_bytes() const {
   return announced_ ? std::min(value_bytes_, announced_->ValueBytes()) : value_bytes_;
@@ -34,8 +31,9 @@
 // The service may count a transaction against one second's changes, so more would never be
 // accepted. Smaller transactions also find a place sooner while others write.
 size_t StateLimits::mutations() const {
-  const auto per_second = static_cast<size_t>(changes_per_s_);
-  const size_t allowed = std::min(mutations_, per_second) >> std::min(rate_limited_in_a_row_, 16);
+  const auto per_second = static_cast<size_t>(changes_.per_second());
+  const size_t allowed =
+      std::min(mutations_, per_second) >> std::min(changes_.refused_in_a_row(), kMaxHalvings);
   return std::max<size_t>(1, allowed);
 }
 
@@ -49,8 +47,7 @@
   mutations_before_isolation_ =
       std::min(mutations_before_isolation_, static_cast<size_t>(announced_->mutations));
   mutations_ = std::min(mutations_, mutations_before_isolation_);
-  max_changes_per_s_ = std::min(max_changes_per_s_, announced_->changes_per_s);
-  changes_per_s_ = std::min(changes_per_s_, max_changes_per_s_);
+  changes_.LowerToAnnounced();
 }
 
 StateLimits::Conclusion StateLimits::OnTooLarge(const TransactionSize& size) {
@@ -72,21 +69,9 @@
   return Conclusion::kLimitLowered;
 }
 
-void StateLimits::OnRateLimited() {
-  ++rate_limited_in_a_row_;
-  if (announced_ && announced_->changes_per_s < max_changes_per_s_) {
-    max_changes_per_s_ = announced_->changes_per_s;
-    changes_per_s_ = std::min(changes_per_s_, max_changes_per_s_);
-  } else if (rate_limited_in_a_row_ >= kRateLimitedBeforeLowering) {
-    changes_per_s_ =
-        std::max(std::min(kMinChangesPerSecond, max_changes_per_s_), changes_per_s_ * kRateStep);
-  }
-}
-
 void StateLimits::OnAccepted() {
   confirmed_ = true;
-  rate_limited_in_a_row_ = 0;
-  changes_per_s_ = std::min(max_changes_per_s_, changes_per_s_ * kRateRecoveryStep);
+  changes_.OnAccepted();
 }
 
 std::optional<LimitsRecord> StateLimits::Learned() const {
@@ -108,7 +93,7 @@
 
 std::string StateLimits::Description() const {
   return std::to_string(value_bytes_) + " bytes a value, " + std::to_string(mutations()) +
-         " mutations a transaction, " + std::to_string(changes_per_s_) + " a second";
+         " mutations a transaction, " + std::to_string(changes_per_s()) + " a second";
 }
 
 }  // namespace badgershore
--- a/src/core/outbox/state_limits.h
+++ b/src/core/outbox/state_limits.h
@@ -8,6 +8,7 @@
 
 #include "core/model/settings.h"
 #include "core/model/types.h"
+#include "core/outbox/adaptive_rate.h"
 
 namespace badgershore {
 
@@ -37,7 +38,7 @@
   // even if it has more.
   size_t mutations() const;
   // Rate at which the state service accepts mutations.
-  double changes_per_s() const { return changes_per_s_; }
+  double changes_per_s() const { return changes_.per_second(); }
 
   enum class Conclusion {
     kLimitLowered,   // send the same records divided by the new limits
@@ -46,7 +47,7 @@
   // A transaction was refused for its size or its number of mutations.
   Conclusion OnTooLarge(const TransactionSize& size);
   // A transaction was refused because of the rate.
-  void OnRateLimited();
+  void OnRateLimited() { changes_.OnRefused(); }
   void OnAccepted();
 
   // What has been learned, once a transaction within it has been accepted; nullopt if nothing.
@@ -67,9 +68,7 @@
   size_t mutations_;
   // Before transactions were made smaller to find the record that is too large.
   size_t mutations_before_isolation_;
-  double changes_per_s_;
-  double max_changes_per_s_;
-  int rate_limited_in_a_row_ = 0;
+  AdaptiveRate changes_;
   bool confirmed_ = false;  // a transaction was accepted since the limits were last lowered
 };
 
