Refuse a job for good if its description can't be recorded

What callers saw: a job whose description exceeds the state service's largest value was answered 503 and retried for a minute. After the limits had fallen, so was the retry of a job that had been accepted. Cause: the refusal was taken for a failed write. Change: a user is told 422 once the records show that the job was not accepted before; else the answer is the job's state. Measured: LoweredLimits.OnlyJobsThatWereNotAcceptedAreRefusedForTheirSize got 503 in both places on and passes now.

--- a/src/core/api/job_api.cpp
+++ b/src/core/api/job_api.cpp
@@ -155,6 +155,10 @@
   commit.mutations = {{keys::kJob + id, false, spec, 0}};
   outbox_->SendState(commit, [=, this](Micros now, StateResponse& response) {
     if (response.ok()) return Answer(request_id, 201, id, JobPhase::kPending);
+    // Also a retry of a job that was accepted under larger limits.
+    if (response.outcome == StateResponse::Outcome::kTooLarge) {
+      return ReadJob(request_id, id, 422, "the job's description is too large", on_live);
+    }
     if (response.rate_limited) admission_control_.OnRateLimited(now);
     if (response.outcome == StateResponse::Outcome::kConflict) {
       return ReadJob(request_id, id, 503, "the job's record is changing", on_live);
--- a/tests/emulated_site.h
+++ b/tests/emulated_site.h
@@ -71,9 +71,10 @@
 // is simulated.
 class EmulatedSite {
  public:
-  // `configure` may change the settings before the controller starts.
-  explicit EmulatedSite(int machines = kMachineCount,
-                        const std::function<void(PlatformSettings*, Options*)>& configure = {}) {
+  // May change the settings before a controller starts.
+  using Configure = std::function<void(PlatformSettings*, Options*)>;
+
+  explicit EmulatedSite(int machines = kMachineCount, const Configure& configure = {}) {
     settings_.member = "m-0";
     settings_.site = "a";
     settings_.zones = {"a"};
@@ -91,9 +92,8 @@
     type_.price = 1;
     type_.spot_price = 1;
     type_.boot = Seconds(40);
-    if (configure) configure(&settings_, &options_);
     AddMachines(machines);
-    StartController();
+    StartController(configure);
     Advance(Seconds(8));
   }
 
@@ -119,12 +119,14 @@
   }
 
   // A new controller takes the place of the present one, as after a crash.
-  void StartController() {
+  void StartController(const Configure& configure = {}) {
+    if (configure) configure(&settings_, &options_);
     controller_ = std::make_unique<Controller>(settings_, options_);
     watches_.clear();
   }
 
-  void Submit(JobKind kind, int tasks, double cpus, const std::string& id = kLargeJob) {
+  void Submit(JobKind kind, int tasks, double cpus, const std::string& id = kLargeJob,
+              const std::string& image = "image") {
     if (id == kLargeJob) gang_members_ = kind == JobKind::kGang ? static_cast<size_t>(tasks) : 0;
     JobSpec spec;
     spec.id = id;
@@ -133,7 +135,7 @@
     spec.kind = kind;
     spec.tasks = tasks;
     spec.need = {static_cast<int64_t>(cpus * 1000), 0, 1};
-    spec.image = "image";
+    spec.image = image;
     spec.estimated_runtime = Seconds(60);
     spec.submitted_ms = TimeOfDayMs();
     Submission submission{id, spec, ""};
@@ -184,6 +186,8 @@
   // Called after each transaction.
   std::function<void()> on_transaction = [] {};
 
+  std::vector<ApiResponse> api_responses;
+
   // Runs each step, one input to the controller, and sees the effects that it has afterwards.
   std::function<void(const std::function<void()>& step, const Effects& effects)> observe_step =
       [](const std::function<void()>& step, const Effects&) { step(); };
@@ -243,6 +247,7 @@
       responses_.push_back(
           [this, id = r.id, response] { controller_->OnCommandResponse(now_, id, response); });
     }
+    for (const ApiResponse& r : effects.api_responses) api_responses.push_back(r);
     for (const CloudRequest& r : effects.cloud_requests) RespondFromCloud(r);
     for (const StateRequest& r : effects.state_requests) RespondFromState(r);
     ServeWatches();
--- a/tests/lowered_limits_test.cpp
+++ b/tests/lowered_limits_test.cpp
@@ -229,6 +229,27 @@
   EXPECT_EQ(MachinesRecordedOnce(site), site.Machines());
 }
 
+// Guards against a user who is told for a minute to retry what can never be recorded, and against
+// an accepted job that is refused when its user repeats the request after the limits have fallen.
+TEST(LoweredLimits, OnlyJobsThatWereNotAcceptedAreRefusedForTheirSize) {
+  EmulatedSite site(kMachineCount, FastState);
+  LimitedStateService service(&site);
+  const std::string long_name(3000, 'x');
+  const auto submit = [&](const std::string& id) {
+    site.api_responses.clear();
+    site.Submit(JobKind::kArray, 1, kSmallTaskCpus, id, long_name);
+    return site.api_responses.empty() ? 0 : site.api_responses.back().status;
+  };
+  EXPECT_EQ(submit(Id(1)), 201);
+  service.SetLimits(2048, 4);
+  EXPECT_EQ(submit(Id(2)), 422);
+  EXPECT_EQ(submit(Id(1)), 200);
+  site.Advance(Seconds(6));
+  site.CompleteAll();
+  site.Advance(Seconds(6));
+  EXPECT_TRUE(IsDone(site, Id(1)));
+}
+
 // Guards against transactions with more changes than the service accepts in a second, and against
 // a leader that uses up all changes of a lower rate.
 TEST(LoweredLimits, RateMayFallWithoutNotice) {
