Do not send a refused quota record again

What callers saw: nothing at a state service's present limits with few teams. With 280 teams in two cells the record of quota shares is refused as too large. Cause: the refusal was taken for a write without an answer: the record was read and the same one sent again, three times a second for the whole term, at the cost of the changes that other records need. Change: after a refusal only a smaller record is sent in this term. The ledger drops the changes that can't be recorded, as if it had just been loaded, so that the cell keeps using the shares on record; nothing has left it of what is dropped. One log line at the level error, and the record counts in badgershore_unwritable_records. Not done: the record is still one value. A cell whose first record does not fit holds no shares, so its limited teams start nothing. Measured: LoweredLimits.QuotaRecordThatIsTooLargeIsNotSentAgain finds the same record sent again on and passes now.

--- a/src/core/leader/leader.cpp
+++ b/src/core/leader/leader.cpp
@@ -200,7 +200,8 @@
   gauges.machines_with_unknown_tasks = usage_accounting_.machines_with_unknown_tasks();
   gauges.uncertain_millicores = usage_accounting_.uncertain_use().cpu;
   gauges.uncertain_placements = quota_log_.uncertain_placements();
-  gauges.unwritable_records = record_writer_.CountUnwritable();
+  gauges.unwritable_records =
+      record_writer_.CountUnwritable() + (quota_shares_.IsRecordRefused() ? 1 : 0);
   gauges.cancellations_age = now - jobs_cache_->known_as_of();
   return gauges;
 }
--- a/src/core/leader/quota_shares.cpp
+++ b/src/core/leader/quota_shares.cpp
@@ -6,6 +6,7 @@
 #include "core/leader/job_table.h"
 #include "core/leader/quota_checker.h"
 #include "core/leader/usage_accounting.h"
+#include "core/model/record_size.h"
 
 namespace badgershore {
 namespace {
@@ -200,16 +201,34 @@
   if (writing_ || now < write_at_ || !election()->leads()) return;
   const std::optional<limits::QuotaRecord> record = ledger_->RecordToWrite();
   if (!record) return;
+  // A smaller record may be accepted, such as after a transfer has been acknowledged.
+  const size_t bytes = MaxRecordBytes(*record);
+  if (bytes >= refused_bytes_) return ledger_->DiscardChanges();
   writing_ = true;
   StateRequest commit;
   commit.kind = StateRequest::Kind::kCompareAndSwap;
   commit.preconditions = {{keys::kTerm, election()->term_version()},
                           {keys::kQuotaRecord, record_version_}};
   commit.mutations.push_back({keys::kQuotaRecord, false, *record, 0});
-  outbox()->SendState(commit,
-                      Guarded([this, number = record->number](Micros now, StateResponse& response) {
-                        OnWriteResponse(now, response, number);
-                      }));
+  outbox()->SendState(
+      commit, Guarded([this, bytes, number = record->number](Micros now, StateResponse& response) {
+        if (response.outcome == StateResponse::Outcome::kTooLarge) {
+          return OnRecordRefused(now, bytes);
+        }
+        OnWriteResponse(now, response, number);
+      }));
+}
+
+// The shares that are recorded stay usable, and no others.
+void QuotaShares::OnRecordRefused(Micros now, size_t bytes) {
+  writing_ = false;
+  write_at_ = now + kWriteRetryDelay;
+  refused_bytes_ = bytes;
+  ledger_->DiscardChanges();
+  outbox()->Log(LogLine::Level::kError, "the state service refused the quota record of " +
+                                            std::to_string(settings().teams.size()) +
+                                            " teams, of at most " + std::to_string(bytes) +
+                                            " bytes: this cell keeps the shares on record");
 }
 
 void QuotaShares::OnRecordWritten(Micros now, uint64_t version, uint64_t number) {
--- a/src/core/leader/quota_shares.h
+++ b/src/core/leader/quota_shares.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,6 +32,8 @@
   void OnRecordsLoaded(Micros now);
   void Tick(Micros now);
   void OnMessage(Micros now, const limits::CellMessage& message);
+  // Whether the state service has refused the record because of its size.
+  bool IsRecordRefused() const { return refused_bytes_ < std::numeric_limits<size_t>::max(); }
   // For the log: how many cells have not responded, or that the quota is restricted. Empty in a
   // single-cell deployment.
   std::string Summary() const;
@@ -59,6 +62,7 @@
   void SendStatus(Micros now);
   std::vector<std::string> LeaderAddresses(Micros now, const std::string& cell);
   void WriteRecord(Micros now);
+  void OnRecordRefused(Micros now, size_t bytes);
   void OnWriteResponse(Micros now, const StateResponse& response, uint64_t number);
   // Reads the record again after a write whose outcome is unknown.
   void ReloadRecord(uint64_t number);
@@ -69,6 +73,9 @@
   std::optional<limits::QuotaRecord> loaded_record_;
   uint64_t record_version_ = 0;  // in the state service; 0: there is none
   bool writing_ = false;
+  // Upper bound of the size of the smallest record that the state service refused in this term;
+  // records of this size or more are not sent.
+  size_t refused_bytes_ = std::numeric_limits<size_t>::max();
   Micros write_at_;
   Micros send_at_;
   Micros update_at_;
--- a/src/limits/quota_ledger.h
+++ b/src/limits/quota_ledger.h
@@ -56,6 +56,9 @@
   void OnWritten(uint64_t number) { records_.OnWritten(number); }
   // The record was certainly not written; the next one may differ.
   void OnNotWritten() { records_.OnNotWritten(); }
+  // The record can't be written: drops all changes since the last one that was, as if it had just
+  // been loaded. Nothing has been sent of them, and what another cell has sent is sent again.
+  void DiscardChanges() { records_.DiscardChanges(); }
   // One message to each active cell, built from durable data only.
   std::vector<CellMessage> Messages() const;
 
--- a/src/limits/quota_record_writer.cpp
+++ b/src/limits/quota_record_writer.cpp
@@ -41,4 +41,9 @@
   next_.number = durable_.number;
 }
 
+void QuotaRecordWriter::DiscardChanges() {
+  in_flight_.reset();
+  next_ = durable_;
+}
+
 }  // namespace badgershore::limits
--- a/src/limits/quota_record_writer.h
+++ b/src/limits/quota_record_writer.h
@@ -30,6 +30,8 @@
   std::optional<QuotaRecord> RecordToWrite();
   void OnWritten(uint64_t number);
   void OnNotWritten() { in_flight_.reset(); }
+  // Drops all changes since the durable version.
+  void DiscardChanges();
 
  private:
   QuotaRecord durable_;
--- a/tests/lowered_limits_test.cpp
+++ b/tests/lowered_limits_test.cpp
@@ -250,6 +250,30 @@
   EXPECT_TRUE(IsDone(site, Id(1)));
 }
 
+// Guards against a quota record that outgrows the limit and is sent again and again.
+TEST(LoweredLimits, QuotaRecordThatIsTooLargeIsNotSentAgain) {
+  EmulatedSite site(kMachineCount, [](PlatformSettings* settings, Options* options) {
+    FastState(settings, options);
+    for (int i = 0; i < 280; ++i) {
+      settings->teams.push_back({"team-" + std::to_string(i), {1000, 0, 0}, {9000, 0, 0}});
+    }
+    options->cells.self = "north";
+    options->cells.cells = {{"north", {}, true, false, ""}, {"south", {}, true, false, ""}};
+  });
+  LimitedStateService service(&site);
+  site.StartController([](PlatformSettings* settings, Options*) {
+    for (Team& team : settings->teams) team.limit.cpu /= 2;
+  });
+  site.Advance(Seconds(8));
+  site.AddMachines(20);
+  RunJob(&site, Id(1));
+  EXPECT_EQ(service.refusals, 1);
+  EXPECT_TRUE(IsDone(site, Id(1)));
+  EXPECT_EQ(MachinesRecordedOnce(site), site.Machines());
+  ASSERT_NE(site.controller().leader(), nullptr);
+  EXPECT_EQ(site.controller().leader()->Gauges(site.now()).unwritable_records, 1u);
+}
+
 // Guards against transactions with more changes than the service accepts in a second, and against
 // a leader that uses up all changes of a lower rate.
 TEST(LoweredLimits, RateMayFallWithoutNotice) {
