Record the number of changes of a transaction only once it is known

Cause: while the record at fault is looked for, transactions are made smaller. That smaller number could be recorded, and a later leader kept to it for good, or went back to the configured number although a smaller one had been learned. Change: the number is settled after 16 accepted transactions, and goes back to the settled one once a value was at fault. A leader reads no limits; followers take over those of the present leader.

--- a/src/core/controller/controller.cpp
+++ b/src/core/controller/controller.cpp
@@ -35,7 +35,7 @@
   callbacks.on_control_entry = [this](Micros, const Entry& entry) {
     machine_types_.OnControlEntry(entry);
     const auto* limits = std::get_if<LimitsRecord>(&entry.value);
-    if (limits && !entry.deleted) state_limits_.Load(*limits);
+    if (limits && !entry.deleted && !leader_) state_limits_.Load(*limits);
   };
   election_ = std::make_unique<Election>(&outbox_, settings_.member, position, options_.lease,
                                          std::move(callbacks));
--- a/src/core/outbox/state_limits.cpp
+++ b/src/core/outbox/state_limits.cpp
@@ -9,6 +9,8 @@
 constexpr double kValueStep = 0.75;
 // Smaller values are never refused for their size: a job's description takes as much.
 constexpr size_t kMinValueBytes = 512;
+// Transactions of a number of mutations after which that number is known to be accepted.
+constexpr int kAcceptedBeforeSettled = 16;
 // Of the mutations of a transaction, after refusals because of the rate.
 constexpr int kMaxHalvings = 16;
 
@@ -20,7 +22,7 @@
       announced_(announced),
       value_bytes_(configured.ValueBytes()),
       mutations_(static_cast<size_t>(configured.mutations)),
-      mutations_before_isolation_(mutations_),
+      settled_mutations_(mutations_),
       changes_(configured.changes_per_s,
                announced ? std::optional(announced->changes_per_s) : std::nullopt) {}
 
@@ -44,14 +46,13 @@
 
 void StateLimits::LowerToAnnounced() {
   value_bytes_ = std::min(value_bytes_, announced_->ValueBytes());
-  mutations_before_isolation_ =
-      std::min(mutations_before_isolation_, static_cast<size_t>(announced_->mutations));
-  mutations_ = std::min(mutations_, mutations_before_isolation_);
+  settled_mutations_ = std::min(settled_mutations_, static_cast<size_t>(announced_->mutations));
+  mutations_ = std::min(mutations_, settled_mutations_);
   changes_.LowerToAnnounced();
 }
 
 StateLimits::Conclusion StateLimits::OnTooLarge(const TransactionSize& size) {
-  confirmed_ = false;
+  accepted_in_a_row_ = 0;
   if (ExceedsAnnounced(size) && (value_bytes_ > announced_->ValueBytes() ||
                                  mutations_ > static_cast<size_t>(announced_->mutations))) {
     LowerToAnnounced();
@@ -63,23 +64,23 @@
   }
   if (size.largest_value_bytes <= kMinValueBytes) return Conclusion::kRecordRefused;
   // The value was at fault, not the number of mutations.
-  mutations_ = mutations_before_isolation_;
+  mutations_ = settled_mutations_;
   const auto step = static_cast<size_t>(static_cast<double>(size.largest_value_bytes) * kValueStep);
   value_bytes_ = std::min(value_bytes_, std::max(kMinValueBytes, step));
   return Conclusion::kLimitLowered;
 }
 
 void StateLimits::OnAccepted() {
-  confirmed_ = true;
+  if (++accepted_in_a_row_ == kAcceptedBeforeSettled) settled_mutations_ = mutations_;
   changes_.OnAccepted();
 }
 
 std::optional<LimitsRecord> StateLimits::Learned() const {
   const LimitsRecord record{configured_.ValueBytes(), static_cast<size_t>(configured_.mutations),
-                            value_bytes_, mutations_};
+                            value_bytes_, settled_mutations_};
   const bool lowered = record.value_bytes < record.configured_value_bytes ||
                        record.mutations < record.configured_mutations;
-  return lowered && confirmed_ ? std::optional(record) : std::nullopt;
+  return lowered && accepted_in_a_row_ > 0 ? std::optional(record) : std::nullopt;
 }
 
 void StateLimits::Load(const LimitsRecord& record) {
@@ -87,8 +88,10 @@
       record.configured_mutations != static_cast<size_t>(configured_.mutations)) {
     return;
   }
-  value_bytes_ = std::min(value_bytes_, std::max(kMinValueBytes, record.value_bytes));
-  mutations_ = std::min(mutations_, std::max<size_t>(1, record.mutations));
+  value_bytes_ = std::clamp(record.value_bytes, std::min(kMinValueBytes, configured_.ValueBytes()),
+                            configured_.ValueBytes());
+  settled_mutations_ = mutations_ =
+      std::clamp<size_t>(record.mutations, 1, static_cast<size_t>(configured_.mutations));
 }
 
 std::string StateLimits::Description() const {
--- a/src/core/outbox/state_limits.h
+++ b/src/core/outbox/state_limits.h
@@ -52,7 +52,7 @@
 
   // What has been learned, once a transaction within it has been accepted; nullopt if nothing.
   std::optional<LimitsRecord> Learned() const;
-  // Takes over what another leader has learned, unless the settings have changed since.
+  // Takes over what the present leader has learned, unless the settings have changed since.
   void Load(const LimitsRecord& record);
 
   // For the log.
@@ -66,10 +66,11 @@
   std::optional<StateServiceLimits> announced_;
   size_t value_bytes_;
   size_t mutations_;
-  // Before transactions were made smaller to find the record that is too large.
-  size_t mutations_before_isolation_;
+  // The largest number of mutations that is known to be accepted. While it is larger than
+  // `mutations_`, transactions are smaller in order to find the record that is too large.
+  size_t settled_mutations_;
   AdaptiveRate changes_;
-  bool confirmed_ = false;  // a transaction was accepted since the limits were last lowered
+  int accepted_in_a_row_ = 0;  // transactions since the last one that was too large
 };
 
 }  // namespace badgershore
