Scenarios in which the state service lowers its limits

Cause: no scenario lowered the limits of the state service; a test of one leader does not show takeovers, users and machines around it. Change: the trouble state_limits and the site's keys state_next_* (announced limits). state-limits-fall: 8 to 2 to 0.9 KB without notice, 250 machines, two leaders end, machines go, all controllers come back, responses are lost, a handover. state-limits-announced: during a handover, with late and lost writes. The state service's state machine takes new limits while it runs.

--- a/src/config/scenario.cpp
+++ b/src/config/scenario.cpp
@@ -83,16 +83,35 @@
   return c;
 }
 
-Fault ReadFault(YamlMap m, Micros end) {
+// Limits that are absent take the values of `defaults`.
+StateServiceLimits ReadStateLimits(YamlMap* m, const std::string& prefix,
+                                   const StateServiceLimits& defaults) {
+  constexpr double kMaxRate = 1e6, kMaxValueKb = 64;
+  const auto number = [&](const char* key, double min, double max, double default_value) {
+    return m->Number(prefix + key, min, max, default_value);
+  };
+  StateServiceLimits limits;
+  limits.requests_per_s = number("rps", 1, kMaxRate, defaults.requests_per_s);
+  limits.changes_per_s = number("write_rps", 1, kMaxRate, defaults.changes_per_s);
+  limits.value_kb = number("value_kb", 0.5, kMaxValueKb, defaults.value_kb);
+  limits.mutations = static_cast<int>(m->Whole(prefix + "txn_ops", 2, 1000, defaults.mutations));
+  return limits;
+}
+
+Fault ReadFault(YamlMap m, Micros end, const StateServiceLimits& state) {
   Fault t;
-  t.kind = static_cast<Fault::Kind>(m.OneOf(
-      "kind",
-      {"cloud_down",  "cloud_empty",   "grants_vanish", "boots_never",   "spot_wave",
-       "state_down",  "state_mute",    "state_late",    "state_restart", "disk_full",
-       "kill",        "cut",           "machines_fail", "machines_die",  "freeze",
-       "restore",     "limit",         "retire",        "state_refuses", "state_slow",
-       "late_writes", "late_reports",  "machines_deaf", "machines_mute", "machines_hang",
-       "cancel_now",  "cancel_at_end", "close_looks",   "odd_requests",  "reports_for_next"}));
+  t.kind =
+      static_cast<Fault::Kind>(m.OneOf("kind", {"cloud_down",      "cloud_empty",   "grants_vanish",
+                                                "boots_never",     "spot_wave",     "state_down",
+                                                "state_mute",      "state_late",    "state_restart",
+                                                "disk_full",       "kill",          "cut",
+                                                "machines_fail",   "machines_die",  "freeze",
+                                                "restore",         "limit",         "retire",
+                                                "state_refuses",   "state_slow",    "late_writes",
+                                                "late_reports",    "machines_deaf", "machines_mute",
+                                                "machines_hang",   "cancel_now",    "cancel_at_end",
+                                                "close_looks",     "odd_requests",  "state_limits",
+                                                "reports_for_next"}));
   t.at = m.Span("at_s", 0, end.ToSeconds());
   t.span = m.Span("for_s", 0, end.ToSeconds(), 0);
   t.share = m.Number("share", 0, 1, 1);
@@ -106,6 +125,7 @@
   if (t.who == "followers" && t.kind != Fault::Kind::kPartition) {
     m.Fail("who", "leader, all or node-0 to node-2; followers only for a cut");
   }
+  if (t.kind == Fault::Kind::kStateLimits) t.limits = ReadStateLimits(&m, "", state);
   if (t.kind == Fault::Kind::kLimit) {
     t.team = m.Text("team");
     t.cpus_max = ReadThousandths(&m, "cpus_max", 0);
@@ -154,6 +174,9 @@
   s.state.value_kb = site->Number("state_value_kb", 1, 64, defaults.state.value_kb);
   s.state.mutations =
       static_cast<int>(site->Whole("state_txn_ops", 3, 1000, defaults.state.mutations));
+  if (site->Has("state_next_value_kb")) {
+    s.next_state = ReadStateLimits(site, "state_next_", s.state);
+  }
   s.cloud_rps = site->Number("cloud_rps", 0.1, 1e4, defaults.cloud_rps);
   s.cloud_list_lag = span("cloud_list_lag_s", 0, 120, defaults.cloud_list_lag);
   s.quota_mem_mb = site->Number("controller_mem_mb", 16, 1e6, defaults.quota_mem_mb);
@@ -213,7 +236,8 @@
   });
   scenario.racing_jobs = top.Texts("either");
   top.Each("troubles", [&](YamlMap m) {
-    scenario.troubles.push_back(ReadFault(std::move(m), scenario.duration + scenario.settle));
+    scenario.troubles.push_back(
+        ReadFault(std::move(m), scenario.duration + scenario.settle, s.state));
   });
   const auto known_cell = [&](const std::string& cell) {
     return cell.empty() ||
--- a/src/config/scenario.h
+++ b/src/config/scenario.h
@@ -69,6 +69,7 @@
     kCancelAtEnd,   // `share` of the jobs are cancelled at the moment their last task completes
     kQueryBursts,   // within milliseconds of a response users query all nodes and submit again
     kUnusualRequests,  // duplicate submissions, cancellations of finished jobs, jobs that can't run
+    kStateLimits,      // the state service's limits change to `limits` for good
     kHeartbeatsHeldForNextLeader  // copies of `share` of the heartbeats reach all nodes after a new
                                   // leader started
   };
@@ -80,7 +81,8 @@
   std::string cell;      // the affected cell; empty: the first, or all cells for kLimit
   std::string team;      // kLimit: every controller is restarted with a new limit for this team
   int64_t cpus_max = 0;  // thousandths
-  bool resets = false;   // kPartition: connections are reset instead of their data being delayed
+  StateServiceLimits limits;  // kStateLimits
+  bool resets = false;  // kPartition: connections are reset instead of their data being delayed
 };
 struct Scenario {
   std::string name, about;
--- a/src/rehearsal/state.cpp
+++ b/src/rehearsal/state.cpp
@@ -81,13 +81,17 @@
   });
 }
 
-void World::StartState() {
+store::Limits World::StoreLimits() const {
   store::Limits limits;
-  limits.requests_per_s = scenario_.site.state.requests_per_s;
-  limits.changes_per_s = scenario_.site.state.changes_per_s;
-  limits.value_bytes = scenario_.site.state.ValueBytes();
-  limits.commit_changes = static_cast<size_t>(scenario_.site.state.mutations);
-  state_ = std::make_unique<store::StateMachine>(limits, std::move(disk_), now_);
+  limits.requests_per_s = state_limits_.requests_per_s;
+  limits.changes_per_s = state_limits_.changes_per_s;
+  limits.value_bytes = state_limits_.ValueBytes();
+  limits.commit_changes = static_cast<size_t>(state_limits_.mutations);
+  return limits;
+}
+
+void World::StartState() {
+  state_ = std::make_unique<store::StateMachine>(StoreLimits(), std::move(disk_), now_);
   ProcessStateEffects();
 }
 
--- a/src/rehearsal/troubles.cpp
+++ b/src/rehearsal/troubles.cpp
@@ -131,6 +131,10 @@
         if (t.who == "leader") break;
       }
       return;
+    case Kind::kStateLimits:
+      state_limits_ = t.limits;
+      if (state_) state_->SetLimits(StoreLimits());
+      return;
     case Kind::kRestore:
       return RestoreStateBackup();
     case Kind::kLimit:
--- a/src/rehearsal/world.h
+++ b/src/rehearsal/world.h
@@ -145,6 +145,7 @@
   Micros StateRefusedUntil(uint64_t id) const;
   void SubmitStateRequest(uint64_t id, const store::Request& request);
   void ProcessStateEffects();
+  store::Limits StoreLimits() const;
   void StartState();  // with the contents of disk_
   void RestartState(Micros span);
 
@@ -234,6 +235,7 @@
   std::vector<Node> nodes_{3};
 
   std::unique_ptr<store::StateMachine> state_;
+  StateServiceLimits state_limits_;       // those in force
   store::StateImage disk_, disk_backup_;  // disk_backup_: made by an operator
   std::optional<store::Batch> pending_write_;
   int state_incarnation_ = 0;
--- a/src/store/rate_limiter.h
+++ b/src/store/rate_limiter.h
@@ -12,6 +12,8 @@
   // per_s 0: no limit.
   RateLimiter(double per_s, Micros now) : per_s_(per_s), tokens_(per_s), updated_at_(now) {}
 
+  void SetRate(double per_s) { per_s_ = per_s; }
+
   // Takes `count` tokens if available. A request for more than the bucket holds is granted when the
   // bucket is full, as otherwise it could never be granted.
   bool TryAcquire(Micros now, double count) {
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -76,6 +76,12 @@
   return response;
 }
 
+void StateMachine::SetLimits(Limits limits) {
+  limits_ = limits;
+  request_limiter_.SetRate(limits.requests_per_s);
+  change_limiter_.SetRate(limits.changes_per_s);
+}
+
 // Validates the request and applies the rate limits; neither needs the stored data.
 std::optional<Response> StateMachine::CheckRequest(Micros now, const Request& request) {
   const auto* commit = std::get_if<CompareAndSwapRequest>(&request);
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -46,6 +46,9 @@
   // Every lease in `image` is renewed at `now`.
   StateMachine(Limits limits, StateImage image, Micros now);
 
+  // Applies to requests from now on. What is stored stays readable.
+  void SetLimits(Limits limits);
+
   // `now` never decreases. Each request gets exactly one response, identified by its id, now or
   // later.
   void Submit(Micros now, RequestId id, Request request);
--- a/tests/kept_scenario_test.cpp
+++ b/tests/kept_scenario_test.cpp
@@ -63,6 +63,8 @@
                                                    "spot-wave",
                                                    "state-down",
                                                    "state-late",
+                                                   "state-limits-announced",
+                                                   "state-limits-fall",
                                                    "state-mute",
                                                    "state-restarts",
                                                    "up-at-once-writes-lag",
