--- a/tests/emulated_site.h
+++ b/tests/emulated_site.h
@@ -105,6 +105,12 @@
     }
   }
 
+  // The state service has lost everything.
+  void ClearState() {
+    state_ = {};
+    state_.renew_duration = options_.lease;
+  }
+
   // The machine is gone with its tasks.
   void LoseMachine(const std::string& id) {
     std::erase_if(heartbeat_requests_,
@@ -126,12 +132,12 @@
   }
 
   void Submit(JobKind kind, int tasks, double cpus, const std::string& id = kLargeJob,
-              const std::string& image = "image") {
+              const std::string& image = "image", const std::string& team = "team") {
     if (id == kLargeJob) gang_members_ = kind == JobKind::kGang ? static_cast<size_t>(tasks) : 0;
     JobSpec spec;
     spec.id = id;
     spec.job_class = "class";
-    spec.team = "team";
+    spec.team = team;
     spec.kind = kind;
     spec.tasks = tasks;
     spec.need = {static_cast<int64_t>(cpus * 1000), 0, 1};
--- a/tests/lowered_limits_test.cpp
+++ b/tests/lowered_limits_test.cpp
@@ -250,16 +250,41 @@
   EXPECT_TRUE(IsDone(site, Id(1)));
 }
 
-// Guards against a quota record that outgrows the limit and is sent again and again.
-TEST(LoweredLimits, QuotaRecordThatIsTooLargeIsNotSentAgain) {
-  EmulatedSite site(kMachineCount, [](PlatformSettings* settings, Options* options) {
+// One of two cells that share the limits of this many teams.
+EmulatedSite::Configure CellWithTeams(int teams) {
+  return [teams](PlatformSettings* settings, Options* options) {
     FastState(settings, options);
-    for (int i = 0; i < 280; ++i) {
+    for (int i = 0; i < teams; ++i) {
       settings->teams.push_back({"team-" + std::to_string(i), {1000, 0, 0}, {9000, 0, 0}});
     }
     options->cells.self = "north";
     options->cells.cells = {{"north", {}, true, false, ""}, {"south", {}, true, false, ""}};
-  });
+  };
+}
+
+// Whether a job of a team with a limit runs in a new cell.
+bool LimitedTeamRuns(int teams) {
+  EmulatedSite site(0, CellWithTeams(teams));
+  site.ClearState();
+  LimitedStateService service(&site);
+  site.StartController();
+  site.Advance(Seconds(8));
+  site.AddMachines(4);
+  site.Advance(Seconds(4));
+  site.Submit(JobKind::kArray, 1, kSmallTaskCpus, Id(1), "image", "team-0");
+  site.Advance(Seconds(10));
+  return site.TasksOnAgents() == 1;
+}
+
+TEST(LoweredLimits, LimitedTeamOfANewCellRuns) { EXPECT_TRUE(LimitedTeamRuns(3)); }
+
+// A cell may only use shares that are on record, and the record of all teams is one value, which
+// 280 teams outgrow. So none of their tasks may start.
+TEST(LoweredLimits, LimitedTeamOfANewCellWith280TeamsRuns) { EXPECT_TRUE(LimitedTeamRuns(280)); }
+
+// Guards against a quota record that outgrows the limit and is sent again and again.
+TEST(LoweredLimits, QuotaRecordThatIsTooLargeIsNotSentAgain) {
+  EmulatedSite site(kMachineCount, CellWithTeams(280));
   LimitedStateService service(&site);
   site.StartController([](PlatformSettings* settings, Options*) {
     for (Team& team : settings->teams) team.limit.cpu /= 2;
