Divide a quota record that does not fit in one value

What callers saw: in a new cell with 280 teams no task of a limited team ever started. Change: QuotaStore writes the record, one value as long as it fits. A larger one is divided by teams: parts under keys that are never used again, then the root that names them, in whose transaction the other form is deleted. So a reader finds the old or the new record as a whole; parts that no root names are deleted. Parts that have not changed are kept. Writes of parts are paced to leave the rate to other records. The test that a refused record is not sent again expected one refusal; the record is not refused any more, so QuotaStore.RecordThatCannotBeWrittenIsNotSentAgain lowers the limit until the root does not fit, and asks in addition that a minute adds no transaction and that the stored record stays.

--- a/src/core/leader/quota_shares.cpp
+++ b/src/core/leader/quota_shares.cpp
@@ -18,7 +18,6 @@
 constexpr Micros kLeaderAddressLifetime = Seconds(3);
 // Transfers that are received or acknowledged within this interval share a write.
 constexpr Micros kWriteInterval = Millis(400);
-constexpr Micros kWriteRetryDelay = Millis(300);
 // If the limit has let a team's tasks start for this long and they still wait, the team is short of
 // machines rather than quota.
 constexpr Micros kMachineShortageAfter = Seconds(20);
@@ -45,7 +44,7 @@
 }
 
 QuotaShares::QuotaShares(const LeaderContext* context)
-    : LeaderComponent(context), startable_since_(settings().teams.size(), kNever) {
+    : LeaderComponent(context), store_(context), startable_since_(settings().teams.size(), kNever) {
   if (options().cells.cells.empty()) return;
   ledger_ = std::make_unique<limits::QuotaLedger>(QuotaSettings(options().cells));
   limits::TeamAmounts totals;
@@ -53,17 +52,9 @@
   ledger_->SetTotals(totals);
 }
 
-void QuotaShares::Load(const Entry& entry) {
-  const auto* record = std::get_if<limits::QuotaRecord>(&entry.value);
-  if (!record || entry.key != keys::kQuotaRecord) return;
-  loaded_record_ = *record;
-  record_version_ = entry.version;
-}
-
 void QuotaShares::OnRecordsLoaded(Micros now) {
   if (is_single_cell()) return;
-  ledger_->Load(loaded_record_, static_cast<uint64_t>(TimeOfDay(now)));
-  loaded_record_.reset();
+  ledger_->Load(store_.TakeLoaded(), static_cast<uint64_t>(TimeOfDay(now)));
   UpdateDemand(now);
   ApplyUsableQuota();
 }
@@ -76,6 +67,7 @@
     ledger_->Tick(TimeOfDay(now));
   }
   ApplyUsableQuota();
+  store_.Tick(now);
   WriteRecord(now);
   if (now >= send_at_) SendStatus(now);
   LogRestriction();
@@ -195,87 +187,39 @@
   }
 }
 
-// The write is conditional on the term and on the record's known version, so that it can't
-// overwrite another leader's record. A retry after an unknown outcome writes the same record.
 void QuotaShares::WriteRecord(Micros now) {
-  if (writing_ || now < write_at_ || !election()->leads()) return;
+  if (store_.IsWriting() || now < write_at_ || !election()->leads()) return;
   const std::optional<limits::QuotaRecord> record = ledger_->RecordToWrite();
   if (!record) return;
   // A smaller record may be accepted, such as after a transfer has been acknowledged.
   const size_t bytes = MaxRecordBytes(*record);
   if (bytes >= refused_bytes_) return ledger_->DiscardChanges();
-  writing_ = true;
-  StateRequest commit;
-  commit.kind = StateRequest::Kind::kCompareAndSwap;
-  commit.preconditions = {{keys::kTerm, election()->term_version()},
-                          {keys::kQuotaRecord, record_version_}};
-  commit.mutations.push_back({keys::kQuotaRecord, false, *record, 0});
-  outbox()->SendState(
-      commit, Guarded([this, bytes, number = record->number](Micros now, StateResponse& response) {
-        if (response.outcome == StateResponse::Outcome::kTooLarge) {
-          return OnRecordRefused(now, bytes);
-        }
-        OnWriteResponse(now, response, number);
-      }));
+  store_.Write(now, *record,
+               [this, bytes, number = record->number](Micros now, QuotaStore::Result result) {
+                 if (result == QuotaStore::Result::kTooLarge) return OnRecordRefused(now, bytes);
+                 OnRecordWritten(now, number);
+               });
 }
 
 // The shares that are recorded stay usable, and no others.
 void QuotaShares::OnRecordRefused(Micros now, size_t bytes) {
-  writing_ = false;
-  write_at_ = now + kWriteRetryDelay;
+  write_at_ = now + kWriteInterval;
   refused_bytes_ = bytes;
   ledger_->DiscardChanges();
-  outbox()->Log(LogLine::Level::kError, "the state service refused the quota record of " +
-                                            std::to_string(settings().teams.size()) +
-                                            " teams, of at most " + std::to_string(bytes) +
-                                            " bytes: this cell keeps the shares on record");
+  outbox()->Log(LogLine::Level::kError,
+                "the quota record of " + std::to_string(settings().teams.size()) +
+                    " teams, of at most " + std::to_string(bytes) +
+                    " bytes, can't be written within the state service's limits: this cell keeps "
+                    "the shares on record");
 }
 
-void QuotaShares::OnRecordWritten(Micros now, uint64_t version, uint64_t number) {
-  record_version_ = version;
+void QuotaShares::OnRecordWritten(Micros now, uint64_t number) {
+  write_at_ = now + kWriteInterval;
   ledger_->OnWritten(number);
   ApplyUsableQuota();
   send_at_ = now;  // the other cells wait for the changes that are durable now
 }
 
-void QuotaShares::OnWriteResponse(Micros now, const StateResponse& response, uint64_t number) {
-  writing_ = false;
-  if (response.ok()) {
-    write_at_ = now + kWriteInterval;
-    return OnRecordWritten(now, response.revision, number);
-  }
-  const auto& failed = response.failed_keys;
-  if (response.outcome == StateResponse::Outcome::kConflict &&
-      std::find(failed.begin(), failed.end(), keys::kTerm) != failed.end()) {
-    return election()->StepDown(now, "a later term has begun");
-  }
-  write_at_ = now + kWriteRetryDelay;
-  if (response.outcome == StateResponse::Outcome::kRefused) return;  // the same write is retried
-  ReloadRecord(number);
-}
-
-void QuotaShares::ReloadRecord(uint64_t number) {
-  writing_ = true;
-  StateRequest get;
-  get.key = keys::kQuotaRecord;
-  outbox()->SendState(get, Guarded([this, number](Micros now, StateResponse& response) {
-                        OnReloadResponse(now, response, number);
-                      }));
-}
-
-void QuotaShares::OnReloadResponse(Micros now, const StateResponse& response, uint64_t number) {
-  writing_ = false;
-  write_at_ = now + kWriteRetryDelay;
-  if (!response.ok() || response.entries.empty()) return;  // the same write is retried
-  const Entry& entry = response.entries[0];
-  const auto* record = std::get_if<limits::QuotaRecord>(&entry.value);
-  if (record && record->number == number) {
-    OnRecordWritten(now, entry.version, number);
-  } else if (entry.version != record_version_) {
-    election()->StepDown(now, "the quota record was written by another leader");
-  }
-}
-
 std::string QuotaShares::Summary() const {
   if (is_single_cell()) return "";
   return ledger_->restricted_to_floor_reason().empty()
--- a/src/core/leader/quota_shares.h
+++ b/src/core/leader/quota_shares.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/leader/leader_component.h"
+#include "core/leader/quota_store.h"
 #include "core/model/jobs.h"
 #include "limits/quota_ledger.h"
 
@@ -27,12 +28,12 @@
   // The deployment has no other cells.
   bool is_single_cell() const { return !ledger_; }
   // Loads an entry under the limits prefix. To be called before OnRecordsLoaded().
-  void Load(const Entry& entry);
+  void Load(const Entry& entry) { store_.Load(entry); }
   // To be called once all records have been loaded.
   void OnRecordsLoaded(Micros now);
   void Tick(Micros now);
   void OnMessage(Micros now, const limits::CellMessage& message);
-  // Whether the state service has refused the record because of its size.
+  // Whether the record has outgrown the state service's limits.
   bool IsRecordRefused() const { return refused_bytes_ < std::numeric_limits<size_t>::max(); }
   // For the log: how many cells have not responded, or that the quota is restricted. Empty in a
   // single-cell deployment.
@@ -63,18 +64,12 @@
   std::vector<std::string> LeaderAddresses(Micros now, const std::string& cell);
   void WriteRecord(Micros now);
   void OnRecordRefused(Micros now, size_t bytes);
-  void OnWriteResponse(Micros now, const StateResponse& response, uint64_t number);
-  // Reads the record again after a write whose outcome is unknown.
-  void ReloadRecord(uint64_t number);
-  void OnReloadResponse(Micros now, const StateResponse& response, uint64_t number);
-  void OnRecordWritten(Micros now, uint64_t version, uint64_t number);
+  void OnRecordWritten(Micros now, uint64_t number);
 
   std::unique_ptr<limits::QuotaLedger> ledger_;
-  std::optional<limits::QuotaRecord> loaded_record_;
-  uint64_t record_version_ = 0;  // in the state service; 0: there is none
-  bool writing_ = false;
-  // Upper bound of the size of the smallest record that the state service refused in this term;
-  // records of this size or more are not sent.
+  QuotaStore store_;
+  // Upper bound of the size of the smallest record that could not be written in this term; records
+  // of this size or more are not tried.
   size_t refused_bytes_ = std::numeric_limits<size_t>::max();
   Micros write_at_;
   Micros send_at_;
--- a/src/core/model/record_size.cpp
+++ b/src/core/model/record_size.cpp
@@ -16,8 +16,6 @@
 constexpr size_t kAccountOverheadBytes = 192;
 // A list element's quotes and comma.
 constexpr size_t kElementOverheadBytes = 3;
-// A 64-bit number with its sign and a comma.
-constexpr size_t kNumberBytes = 21;
 constexpr int kTasksPerDigit = 4;
 
 template <typename List, typename Size>
@@ -34,7 +32,7 @@
 size_t TeamAmountsBytes(const limits::TeamAmounts& amounts) {
   return Sum(amounts, [](const auto& team) {
     return JsonTextBytes(team.first) + 2 * kElementOverheadBytes +
-           kNumberBytes * limits::kResourceKinds;
+           Sum(team.second, [](int64_t amount) { return std::to_string(amount).size() + 1; });
   });
 }
 
@@ -74,8 +72,9 @@
                         TeamAmountsBytes(account.second.in_transit) +
                         TeamAmountsBytes(account.second.net_sent);
                }) +
-           Sum(r.inherited,
-               [](const auto& cell) { return JsonTextBytes(cell.first) + kElementOverheadBytes; });
+           TextsBytes(r.parts) + Sum(r.inherited, [](const auto& cell) {
+             return JsonTextBytes(cell.first) + kElementOverheadBytes;
+           });
   }
 };
 
--- a/src/core/model/types.h
+++ b/src/core/model/types.h
@@ -144,6 +144,9 @@
 inline const std::string kFleet = "fleet/";
 inline const std::string kLimits = "limits/";
 inline const std::string kQuotaRecord = "limits/escrow";
+// The quota record where it is divided: the root, which names the parts.
+inline const std::string kQuotaRoot = "limits/root";
+inline const std::string kQuotaPart = "limits/part/";
 }  // namespace keys
 
 }  // namespace badgershore
--- a/src/limits/quota_types.h
+++ b/src/limits/quota_types.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace badgershore::limits {
 
@@ -43,6 +44,8 @@
   TeamAmounts totals;   // as last agreed: the minimum of all cells' settings
   std::map<std::string, TransferAccount> accounts;  // by cell
   std::map<std::string, bool> inherited;            // removed cells whose shares were added
+  // Not empty: the teams are in these parts of the stored record, see QuotaStore.
+  std::vector<std::string> parts;
   bool operator==(const QuotaRecord&) const = default;
 };
 
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -85,6 +85,7 @@
       w->End();
     }
     w->End();
+    if (!r.parts.empty()) WriteStrings(w, "parts", r.parts);
     if (r.inherited.empty()) return;
     std::vector<std::string> cells;
     for (const auto& [cell, yes] : r.inherited) cells.push_back(cell);
@@ -146,6 +147,7 @@
       account.net_sent = ReadTeamAmounts(a.value, "net");
     }
   }
+  if (const Value* parts = Find(v, "parts")) r.parts = ReadStrings(*parts);
   if (const Value* cells = Find(v, "inherited")) {
     for (const std::string& cell : ReadStrings(*cells)) r.inherited[cell] = true;
   }
@@ -193,7 +195,7 @@
   if (key == keys::kTerm) return TermRecord{Count(v, "term"), Text(v, "leader")};
   if (key == keys::kLeader || key == keys::kSuccessor)
     return LeaderRecord{Text(v, "leader"), Count(v, "term")};
-  if (key == keys::kQuotaRecord) return ReadQuotaRecord(v);
+  if (HasPrefix(key, keys::kLimits)) return ReadQuotaRecord(v);
   if (key == keys::kTypes) return TypeCountRecord{static_cast<int>(Number(v, "count"))};
   if (key == keys::kStateLimits) {
     return LimitsRecord{Count(v, "of_value"), Count(v, "of_changes"), Count(v, "value"),
--- a/tests/lowered_limits_test.cpp
+++ b/tests/lowered_limits_test.cpp
@@ -8,86 +8,15 @@
 #include <set>
 
 #include "emulated_site.h"
-#include "wire/json.h"
-#include "wire/messages.h"
-#include "wire/records.h"
+#include "limited_state_service.h"
 
 namespace badgershore {
 namespace {
 
-constexpr size_t kTransactionBytes = 64 * 1024;
 constexpr int kHundredsOfMachines = 300;
 // From a machine's end until it is taken off the records, and for what is queued behind that.
 constexpr Micros kSettleTime = Seconds(40);
 
-std::string Id(int job) { return "job-" + std::to_string(job); }
-
-// Refuses what exceeds the limits, as PROTOCOL says. A rate of 0 is no limit.
-class LimitedStateService {
- public:
-  explicit LimitedStateService(EmulatedSite* site) : site_(site) {
-    site->refuse_state_request = [this](const StateRequest& request) { return Check(request); };
-    site->on_transaction = [this] { ++transactions; };
-  }
-
-  void SetLimits(size_t value_bytes, size_t mutations, double changes_per_s = 0) {
-    value_bytes_ = value_bytes;
-    mutations_ = mutations;
-    changes_per_s_ = changes_per_s;
-    tokens_ = std::min(tokens_, changes_per_s);
-  }
-  // A new leader may send what another one has sent.
-  void ForgetRefused() { refused_.clear(); }
-
-  int refusals = 0, rate_limited = 0, transactions = 0;
-
- private:
-  std::optional<StateResponse> Check(const StateRequest& request) {
-    if (request.kind != StateRequest::Kind::kCompareAndSwap) return std::nullopt;
-    StateResponse response;
-    const std::string body = wire::FormatStateRequest(request).body;
-    if (ExceedsLimit(request, body)) {
-      ++refusals;
-      const std::string changes = body.substr(body.find("\"then\""));
-      EXPECT_TRUE(refused_.insert(changes).second) << "sent again unchanged: " << changes;
-      response.outcome = StateResponse::Outcome::kTooLarge;
-      return response;
-    }
-    if (TakeTokens(request.mutations.size())) return std::nullopt;
-    ++rate_limited;
-    response.outcome = StateResponse::Outcome::kRefused;
-    response.rate_limited = true;
-    return response;
-  }
-
-  bool ExceedsLimit(const StateRequest& request, const std::string& body) const {
-    if (request.mutations.size() > mutations_ || body.size() > kTransactionBytes) return true;
-    return std::any_of(request.mutations.begin(), request.mutations.end(),
-                       [this](const Mutation& mutation) {
-                         wire::Writer writer;
-                         wire::PutRecord(&writer, mutation.value);
-                         return !mutation.is_delete && writer.Done().size() > value_bytes_;
-                       });
-  }
-
-  // The bucket holds the changes of one second; more at once are never accepted.
-  bool TakeTokens(size_t mutations) {
-    if (changes_per_s_ == 0) return true;
-    const double elapsed_s = (site_->now() - tokens_at_).ToSeconds();
-    tokens_ = std::min(changes_per_s_, tokens_ + changes_per_s_ * elapsed_s);
-    tokens_at_ = site_->now();
-    if (tokens_ < static_cast<double>(mutations)) return false;
-    tokens_ -= static_cast<double>(mutations);
-    return true;
-  }
-
-  EmulatedSite* site_;
-  size_t value_bytes_ = 8192, mutations_ = 8;
-  double changes_per_s_ = 0, tokens_ = 0;
-  Micros tokens_at_;
-  std::set<std::string> refused_;
-};
-
 // In how many pages each machine stands.
 std::map<std::string, int> RecordedMachines(const EmulatedSite& site) {
   std::map<std::string, int> pages;
@@ -119,12 +48,6 @@
   site->Advance(Seconds(6));
 }
 
-// Idle machines are kept, so that all that are up have to be on record.
-void FastState(PlatformSettings* settings, Options* options) {
-  options->keep_machines = 10000;
-  settings->state = {.requests_per_s = 1000, .changes_per_s = 200, .value_kb = 8, .mutations = 8};
-}
-
 // Guards against a page that was written under larger limits and is refused with every transaction
 // from then on, so that no job is called done any more (review case 2).
 TEST(LoweredLimits, JobsAreCalledDoneAfterLimitsFellWithoutNotice) {
@@ -250,55 +173,6 @@
   EXPECT_TRUE(IsDone(site, Id(1)));
 }
 
-// One of two cells that share the limits of this many teams.
-EmulatedSite::Configure CellWithTeams(int teams) {
-  return [teams](PlatformSettings* settings, Options* options) {
-    FastState(settings, options);
-    for (int i = 0; i < teams; ++i) {
-      settings->teams.push_back({"team-" + std::to_string(i), {1000, 0, 0}, {9000, 0, 0}});
-    }
-    options->cells.self = "north";
-    options->cells.cells = {{"north", {}, true, false, ""}, {"south", {}, true, false, ""}};
-  };
-}
-
-// Whether a job of a team with a limit runs in a new cell.
-bool LimitedTeamRuns(int teams) {
-  EmulatedSite site(0, CellWithTeams(teams));
-  site.ClearState();
-  LimitedStateService service(&site);
-  site.StartController();
-  site.Advance(Seconds(8));
-  site.AddMachines(4);
-  site.Advance(Seconds(4));
-  site.Submit(JobKind::kArray, 1, kSmallTaskCpus, Id(1), "image", "team-0");
-  site.Advance(Seconds(10));
-  return site.TasksOnAgents() == 1;
-}
-
-TEST(LoweredLimits, LimitedTeamOfANewCellRuns) { EXPECT_TRUE(LimitedTeamRuns(3)); }
-
-// A cell may only use shares that are on record, and the record of all teams is one value, which
-// 280 teams outgrow. So none of their tasks may start.
-TEST(LoweredLimits, LimitedTeamOfANewCellWith280TeamsRuns) { EXPECT_TRUE(LimitedTeamRuns(280)); }
-
-// Guards against a quota record that outgrows the limit and is sent again and again.
-TEST(LoweredLimits, QuotaRecordThatIsTooLargeIsNotSentAgain) {
-  EmulatedSite site(kMachineCount, CellWithTeams(280));
-  LimitedStateService service(&site);
-  site.StartController([](PlatformSettings* settings, Options*) {
-    for (Team& team : settings->teams) team.limit.cpu /= 2;
-  });
-  site.Advance(Seconds(8));
-  site.AddMachines(20);
-  RunJob(&site, Id(1));
-  EXPECT_EQ(service.refusals, 1);
-  EXPECT_TRUE(IsDone(site, Id(1)));
-  EXPECT_EQ(MachinesRecordedOnce(site), site.Machines());
-  ASSERT_NE(site.controller().leader(), nullptr);
-  EXPECT_EQ(site.controller().leader()->Gauges(site.now()).unwritable_records, 1u);
-}
-
 // Guards against transactions with more changes than the service accepts in a second, and against
 // a leader that uses up all changes of a lower rate.
 TEST(LoweredLimits, RateMayFallWithoutNotice) {
