Divide pages ahead at a low rate too, and never repeat a refused count of types

Cause: found when the whole change was read once more. Pages were divided ahead of announced limits only with changes to spare for a full transaction, which a rate of 10 a second never has with 8 changes. And ctl/types, refused alone, was sent again at once for ever. Change: the number of pages that the changes to spare allow; the count is given up like any other record that is refused alone.

--- a/src/core/leader/record_writer.cpp
+++ b/src/core/leader/record_writer.cpp
@@ -229,8 +229,8 @@
 void RecordWriter::AddPagesDividedAhead(Micros now, PagedRecords* records, Batch* batch) {
   if (!batch->empty() || write_budget_.IsScarce()) return;
   const PageLimits later = PageLimitsFor(state_limits().announced_value_bytes());
-  const size_t max_pages = state_limits().mutations();
-  if (!write_budget_.AdmitsDeferrable(max_pages)) return;
+  size_t max_pages = state_limits().mutations();
+  while (max_pages > 1 && !write_budget_.AdmitsDeferrable(max_pages - 1)) --max_pages;
   if (records->DivideAhead(later, max_pages, now)) AddDirtyPages(now, records, {}, batch);
 }
 
@@ -369,6 +369,7 @@
                                             batch.size.largest_key +
                                             "; it is not sent again until it changes");
   if (batch.limits) written_limits_ = batch.limits;
+  if (batch.has_type_count) machine_types_dirty_ = false;
   for (const MachineType& type : batch.machine_types) refused_types_.insert(type.name);
   for (const std::string& id : batch.job_ends) {
     std::erase(job_ends_, id);
--- a/tests/lowered_limits_test.cpp
+++ b/tests/lowered_limits_test.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 
+#include "core/model/record_size.h"
 #include "emulated_site.h"
 #include "limited_state_service.h"
 
@@ -213,6 +214,44 @@
   EXPECT_LE(service.refusals, 1);
 }
 
+// Guards against pages that are never divided ahead because a second's changes are fewer than a
+// transaction may have.
+TEST(LoweredLimits, PagesAreDividedAheadAtALowRateToo) {
+  EmulatedSite site(kMachineCount * 4, [](PlatformSettings* settings, Options* options) {
+    AnnouncedLimits(settings, options);
+    settings->state.changes_per_s = 10;
+  });
+  site.Advance(Seconds(60));
+  for (const auto& [key, item] : site.state().items) {
+    const auto* page = std::get_if<FleetPage>(&item.value);
+    if (!page) continue;
+    EXPECT_LE(MaxRecordBytes(*page), 2048u) << key;
+  }
+  EXPECT_EQ(MachinesRecordedOnce(site), site.Machines());
+}
+
+// Guards against a record that is refused alone, whatever its size, and sent again at once.
+TEST(LoweredLimits, SmallRecordThatIsRefusedIsNotSentAgain) {
+  EmulatedSite site(kMachineCount, FastState);
+  site.ClearState();
+  int refused = 0;
+  site.refuse_state_request = [&](const StateRequest& request) -> std::optional<StateResponse> {
+    const bool counts_types =
+        std::any_of(request.mutations.begin(), request.mutations.end(),
+                    [](const Mutation& mutation) { return mutation.key == keys::kTypes; });
+    if (!counts_types) return std::nullopt;
+    ++refused;
+    StateResponse response;
+    response.outcome = StateResponse::Outcome::kTooLarge;
+    return response;
+  };
+  site.StartController();
+  site.Advance(Seconds(20));
+  EXPECT_GT(refused, 0);
+  EXPECT_LE(refused, 4);
+  EXPECT_EQ(MachinesRecordedOnce(site), site.Machines());
+}
+
 // One refusal is enough to take the announced limits as those in force, also for the next leader.
 TEST(LoweredLimits, AnnouncedLimitsHoldFromTheFirstRefusalOn) {
   EmulatedSite site(kHundredsOfMachines, AnnouncedLimits);
