--- a/src/config/scenario.cpp
+++ b/src/config/scenario.cpp
@@ -67,6 +67,7 @@
   c.spec.checkpoint_interval = m.Span("save_every_s", 0, 1e5, 0);
   c.spec.checkpoint_duration = m.Span("save_s", 0, 1e4, 1);
   if (m.Has("due_s")) c.spec.deadline = m.Span("due_s", 0, 1e6);
+  if (m.Has("zone")) c.spec.zone = m.Text("zone");
   c.spec.same_zone = m.Flag("same_zone", false);
   c.spec.spread = m.Flag("spread", false);
   c.spec.allow_spot = m.Flag("spot", false);
@@ -116,6 +117,7 @@
   t.span = m.Span("for_s", 0, end.ToSeconds(), 0);
   t.share = m.Number("share", 0, 1, 1);
   t.cell = m.Text("cell", "");
+  t.zone = m.Text("zone", "");
   if (t.kind == Fault::Kind::kCancelNow) t.count = static_cast<int>(m.Whole("count", 1, 10000));
   if (t.kind == Fault::Kind::kKill || t.kind == Fault::Kind::kPartition ||
       t.kind == Fault::Kind::kPause || t.kind == Fault::Kind::kHandover ||
--- a/src/config/scenario.h
+++ b/src/config/scenario.h
@@ -78,6 +78,7 @@
   double share = 1;
   int count = 0;
   std::string who, whom;
+  std::string zone;      // of the affected machines; empty: all zones
   std::string cell;      // the affected cell; empty: the first, or all cells for kLimit
   std::string team;      // kLimit: every controller is restarted with a new limit for this team
   int64_t cpus_max = 0;  // thousandths
--- a/src/core/leader/dispatch.cpp
+++ b/src/core/leader/dispatch.cpp
@@ -141,7 +141,7 @@
     if (!machine_table().IsReady(*machine, now) || machine->reserved_for ||
         (machine->held_for && now < machine->held_until) ||
         !Allows(job.spec, *machine->type, machine->zone, machine->spot) ||
-        !usage_accounting().ZoneAllows(job, machine->zone) ||
+        !ZoneAllows(job, machine->zone) ||
         !job.spec.need.Fits(machine->type->Capacity() - machine->GangUse())) {
       continue;
     }
@@ -178,7 +178,7 @@
     if (best && !StartsBefore(now, job, *best->job)) continue;
     if (!quota_checker().Allows(job, 1)) continue;
     if (!job.spec.need.Fits(AvailableResourcesFor(*machine, job, used, now)) ||
-        reconciler().MayStillRun(job) || !usage_accounting().ZoneAllows(job, machine->zone)) {
+        reconciler().MayStillRun(job) || !ZoneAllows(job, machine->zone)) {
       continue;
     }
     best = &entry;
@@ -215,7 +215,7 @@
   return Allows(job.spec, *machine.type, machine.zone, machine.spot) &&
          !AvoidsMachine(now, job, machine) &&
          job.spec.need.Fits(AvailableResourcesFor(machine, job, used, now)) &&
-         !reconciler().MayStillRun(job) && usage_accounting().ZoneAllows(job, machine.zone);
+         !reconciler().MayStillRun(job) && ZoneAllows(job, machine.zone);
 }
 
 void Dispatch::RebindAndStart(Micros now, Machine* machine, Job* job, Resources* used,
@@ -318,8 +318,7 @@
   std::vector<EligibleMachine> eligible;
   for (const auto& [machine, gang_use] : ready) {
     if (!Allows(job.spec, *machine->type, machine->zone, machine->spot)) continue;
-    if (!usage_accounting().ZoneAllows(job, machine->zone) || AvoidsMachine(now, job, *machine))
-      continue;
+    if (!ZoneAllows(job, machine->zone) || AvoidsMachine(now, job, *machine)) continue;
     const Resources open = AvailableResourcesFor(*machine, job, gang_use, now);
     if (!job.spec.need.Fits(open)) continue;
     eligible.push_back({machine, open});
--- a/src/core/leader/failure_detector.cpp
+++ b/src/core/leader/failure_detector.cpp
@@ -7,6 +7,7 @@
 #include "core/leader/heartbeat_handler.h"
 #include "core/leader/machine_table.h"
 #include "core/leader/reconciler.h"
+#include "core/placement/autoscaler.h"
 
 namespace badgershore {
 namespace {
@@ -87,6 +88,7 @@
   if (machine->stage != MachineStage::kUp) return;
   ProbeIfDue(now, machine, probes);
   if (const char* failure = FailureReason(now, *machine, liveness)) {
+    scaler().RecordUnreachable(machine->zone, false, now);
     machine_table().ReleaseMachine(now, machine, failure);
     return;
   }
@@ -106,6 +108,7 @@
   const Micros boot_time = machine->type ? machine->type->boot : kDefaultBootTime;
   const Micros timeout = boot_time.Scaled(options().boot_patience) + kBootMargin;
   if (now >= grace_until_ && now - machine->rented_at > timeout) {
+    scaler().RecordUnreachable(machine->zone, true, now);
     machine_table().ReleaseMachine(now, machine, "boot timeout");
   }
 }
--- a/src/core/leader/fair_share.cpp
+++ b/src/core/leader/fair_share.cpp
@@ -222,7 +222,7 @@
     if (!machine_table().IsReady(*machine, now) || machine->held_for || machine->reserved_for)
       continue;
     if (!Allows(job.spec, *machine->type, machine->zone, machine->spot) ||
-        !usage_accounting().ZoneAllows(job, machine->zone)) {
+        !ZoneAllows(job, machine->zone)) {
       continue;
     }
     PreemptionOption option;
--- a/src/core/leader/gang_placement.cpp
+++ b/src/core/leader/gang_placement.cpp
@@ -110,7 +110,7 @@
         !Allows(gang.spec, *machine->type, machine->zone, machine->spot))
       continue;
     if (!zone.empty() && machine->zone != zone) continue;
-    if (!usage_accounting().ZoneAllows(gang, machine->zone)) continue;
+    if (!ZoneAllows(gang, machine->zone)) continue;
     if (machine->reserved_for && machine->reserved_for != &gang) continue;
     rooms.push_back(
         {machine.get(), dispatch().AvailableResourcesFor(*machine, gang, machine->Used(), now)});
@@ -138,9 +138,7 @@
     if (members == 0) break;
     int& in_zone = members_in_zone[room.machine->zone];
     int64_t share = std::min<int64_t>(room.free.Holds(gang.spec.need), members);
-    if (gang.spec.spread) {
-      share = std::clamp<int64_t>((gang.spec.tasks + 1) / 2 - in_zone, 0, share);
-    }
+    share = std::clamp<int64_t>(MaxTasksInZone(gang.spec) - in_zone, 0, share);
     if (share == 0) continue;
     in_zone += static_cast<int>(share);
     members -= static_cast<int>(share);
--- a/src/core/leader/gang_reservations.cpp
+++ b/src/core/leader/gang_reservations.cpp
@@ -33,7 +33,7 @@
   const Selection selection = CheapestSelection(now, *gang, prioritized);
   ReleaseReservation(gang);
   gang->has_reservation = !selection.machines.empty();
-  const bool after_gangs = Reserve(selection, *gang, prioritized);
+  const bool after_gangs = Reserve(selection, *gang);
   for (const Candidate& c : selection.machines) {
     c.machine->reserved_after_gangs = after_gangs;
     if (!after_gangs) gang_preemption().PreemptForGang(now, c.machine, *gang);
@@ -80,13 +80,15 @@
   Selection selection;
   std::map<std::string, int> members_in_zone;
   int members = 0;
-  for (const Candidate& c : candidates) {
+  for (Candidate c : candidates) {
     if (members >= gang.remaining()) break;
     int& zone_members = members_in_zone[c.machine->zone];
-    if (gang.spec.spread && zone_members >= (gang.spec.tasks + 1) / 2) continue;
-    const int fitting = MembersThatFit(*c.machine, gang, gang.remaining() - members, prioritized);
-    members += fitting;
-    zone_members += fitting;
+    const int missing =
+        std::min(gang.remaining() - members, MaxTasksInZone(gang.spec) - zone_members);
+    c.members = MembersThatFit(*c.machine, gang, missing, prioritized);
+    if (c.members == 0) continue;
+    members += c.members;
+    zone_members += c.members;
     selection.cost += c.cost;
     selection.machines.push_back(c);
   }
@@ -95,15 +97,12 @@
 }
 
 // Returns whether other gangs still use resources of some of the machines that the gang needs.
-bool GangReservations::Reserve(const Selection& selection, const Job& gang, bool prioritized) {
-  int members = 0;
+bool GangReservations::Reserve(const Selection& selection, const Job& gang) {
   bool after_gangs = false;
   for (const Candidate& c : selection.machines) {
     Machine* machine = c.machine;
     machine->reserved_for = &gang;
-    machine->reserved_members =
-        MembersThatFit(*machine, gang, gang.remaining() - members, prioritized);
-    members += machine->reserved_members;
+    machine->reserved_members = c.members;
     after_gangs |= !gang.spec.need.Times(machine->reserved_members)
                         .Fits(machine->type->Capacity() - machine->GangUse());
   }
--- a/src/core/leader/gang_reservations.h
+++ b/src/core/leader/gang_reservations.h
@@ -37,7 +37,8 @@
  private:
   struct Candidate {
     Machine* machine;
-    double cost;  // CPU-seconds, with penalties
+    double cost;      // CPU-seconds, with penalties
+    int members = 0;  // for which a selection reserves the machine
   };
   struct Selection {
     std::vector<Candidate> machines;
@@ -48,7 +49,7 @@
                                     bool prioritized) const;
   std::optional<Selection> Select(const Job& gang, const std::vector<Candidate>& candidates,
                                   bool prioritized) const;
-  bool Reserve(const Selection& selection, const Job& gang, bool prioritized);
+  bool Reserve(const Selection& selection, const Job& gang);
 };
 
 }  // namespace badgershore
--- a/src/core/leader/provisioner.cpp
+++ b/src/core/leader/provisioner.cpp
@@ -4,6 +4,7 @@
 
 #include "core/leader/agent_client.h"
 #include "core/leader/dispatch.h"
+#include "core/leader/failure_detector.h"
 #include "core/leader/job_table.h"
 #include "core/leader/machine_table.h"
 #include "core/leader/quota_checker.h"
@@ -63,6 +64,10 @@
   ScalingSnapshot snapshot;
   snapshot.now = now;
   snapshot.term_began_at = term_began_at();
+  // If no machine is heard, the fault is probably this leader's.
+  if (!failure_detector().ReceivesNoHeartbeats(now)) {
+    snapshot.reachable_since = now - settings().agent_lease;
+  }
   snapshot.machine_types = &types();
   snapshot.zones = &settings().zones;
   snapshot.objectives = &settings().objectives;
--- a/src/core/leader/stuck_job_detector.cpp
+++ b/src/core/leader/stuck_job_detector.cpp
@@ -53,7 +53,7 @@
   int eligible = 0, ready = 0, with_room = 0, unrecorded = 0;
   for (const auto& [id, machine] : machine_table().machines()) {
     if (!machine->type || !Allows(job.spec, *machine->type, machine->zone, machine->spot) ||
-        !usage_accounting().ZoneAllows(job, machine->zone)) {
+        !ZoneAllows(job, machine->zone)) {
       continue;
     }
     ++eligible;
--- a/src/core/leader/usage_accounting.cpp
+++ b/src/core/leader/usage_accounting.cpp
@@ -190,19 +190,6 @@
   }
 }
 
-bool UsageAccounting::ZoneAllows(const Job& job, const std::string& zone) const {
-  if (job.spec.same_zone) {
-    for (const auto& [other_zone, tasks] : job.zone_count) {
-      if (tasks > 0 && other_zone != zone) return false;
-    }
-  }
-  if (job.spec.spread) {
-    auto it = job.zone_count.find(zone);
-    if (it != job.zone_count.end() && it->second >= (job.spec.tasks + 1) / 2) return false;
-  }
-  return true;
-}
-
 std::string UsageAccounting::VerifyCounts() const {
   Recount recount(settings().teams.size());
   for (const auto& [id, machine] : machine_table().machines()) {
--- a/src/core/leader/usage_accounting.h
+++ b/src/core/leader/usage_accounting.h
@@ -55,8 +55,6 @@
   // Some machine with uncertain use has an unknown type, so uncertain_use() is not an upper bound.
   bool IsUncertainUseUnbounded() const { return unbounded_machines_ > 0; }
 
-  // Whether the job's zone constraints allow another task in this zone.
-  bool ZoneAllows(const Job& job, const std::string& zone) const;
   // A number that is unique among all attempts of all terms.
   uint64_t NextAttempt() { return (election()->term() << kAttemptBits) + ++attempts_; }
 
--- a/src/core/model/jobs.cpp
+++ b/src/core/model/jobs.cpp
@@ -2,6 +2,18 @@
 
 namespace badgershore {
 
+int MaxTasksInZone(const JobSpec& spec) { return spec.spread ? (spec.tasks + 1) / 2 : spec.tasks; }
+
+bool ZoneAllows(const Job& job, const std::string& zone) {
+  if (job.spec.same_zone) {
+    for (const auto& [other_zone, tasks] : job.zone_count) {
+      if (tasks > 0 && other_zone != zone) return false;
+    }
+  }
+  const auto it = job.zone_count.find(zone);
+  return !job.spec.spread || it == job.zone_count.end() || it->second < MaxTasksInZone(job.spec);
+}
+
 std::string EncodeProgress(const Job& job, int chunk, int chunk_tasks) {
   static const char kHex[] = "0123456789abcdef";
   const int from = chunk * chunk_tasks;
--- a/src/core/model/jobs.h
+++ b/src/core/model/jobs.h
@@ -114,6 +114,12 @@
   }
 };
 
+// The most tasks of the job that may be in one zone at a time.
+int MaxTasksInZone(const JobSpec& spec);
+// Whether the job's zone constraints allow another task in this zone beside those that are or may
+// be on machines.
+bool ZoneAllows(const Job& job, const std::string& zone);
+
 // Bitmap of the finished tasks of a chunk, as hex digits.
 std::string EncodeProgress(const Job& job, int chunk, int chunk_tasks);
 // Calls `each` for every finished task in the chunk.
--- a/src/core/placement/array_scale_out.h
+++ b/src/core/placement/array_scale_out.h
@@ -1,6 +1,10 @@
 // Scale-out for arrays and services: which machines to undrain and which to request from the cloud.
 #pragma once
 
+#include <cstdint>
+#include <map>
+#include <vector>
+
 #include "core/placement/array_capacity.h"
 #include "core/placement/array_demand.h"
 #include "core/placement/array_shortfall.h"
@@ -21,9 +25,10 @@
   // Covers the shortfall, first by undraining machines, whose capacity is added to `capacity`, then
   // by requesting new ones.
   void Plan(ArrayShortfall shortfall, ArrayCapacity* capacity);
-  // Requests a machine for each job that can't run on any current or requested machine. The
-  // shortfall does not show this, because it is measured with the tasks of the typical job. Call it
-  // after Plan().
+  // Undrains or requests a machine for each job that can't run on any current or requested machine,
+  // and marks the machines that must be kept because some job can't run elsewhere. The shortfall
+  // does not show this, because it is measured with the tasks of the typical job. Call it after
+  // Plan().
   void PlanForUnplaceableJobs();
 
  private:
@@ -36,13 +41,22 @@
   OfferChoice ChooseOffer(const std::vector<InstanceOffer>& offers, const ArrayShortfall& shortfall,
                           const ArrayCapacity& capacity) const;
   bool IsDoneBeforeBoot(const MachineType& type, const ArrayCapacity& capacity) const;
-  bool HasMachineFor(const Job& job) const;
+  void RequestMachineFor(const Job& job);
+  // Whether a machine that has been requested, in this decision or before, may run the job.
+  bool IsMachineRequestedFor(const Job& job) const;
+  // Machines that may run the job, only the first `most`.
+  std::vector<Machine*> MachinesFor(const Job& job, bool draining, size_t most) const;
+  bool HasRoomFor(const Job& job, const Machine& machine) const;
+  // Whether the team's limit leaves room for a task of the job beside the team's services.
+  bool MayStartBesideServices(const Job& job) const;
+  void KeepMachinesOfReplicas(const Job& job);
 
   const ScalingSnapshot& snapshot_;
   const InstanceOffers& offers_;
   const CapacityMeter& meter_;
   const ArrayDemand& demand_;
   ScalingDecision* decision_;
+  std::map<int, int64_t> services_cpu_;  // that replicas use, in thousandths, by team
 };
 
 }  // namespace badgershore
--- a/src/core/placement/autoscaler.cpp
+++ b/src/core/placement/autoscaler.cpp
@@ -16,16 +16,52 @@
 constexpr double kUrgentLoadSlack = 1.1;
 constexpr double kUnitsPerCpu = 1000;
 
+// The machines of a zone are kept while they have less than this times the capacity that the jobs
+// bound to the zone require.
+constexpr double kBoundCapacitySlack = 1.2;
+
 }  // namespace
 
 ScalingDecision Autoscaler::Decide(const ScalingSnapshot& snapshot) {
   ScalingDecision decision;
   summary_.clear();
   ScaleForGangs(snapshot, &decision);
-  ScaleForArrays(snapshot, &decision);
+  ScalingSnapshot with_requests = snapshot;
+  ScaleForBoundJobs(&with_requests, &decision);
+  ScaleForArrays(with_requests, &decision);
   return decision;
 }
 
+void Autoscaler::ScaleForBoundJobs(ScalingSnapshot* snapshot, ScalingDecision* decision) const {
+  if (snapshot->zones->size() < 2) return;
+  std::set<std::string> zones;
+  for (const Job* job : snapshot->jobs) {
+    if (!job->IsGang() && !job->finishing && job->spec.zone) zones.insert(*job->spec.zone);
+  }
+  const size_t requested_before = decision->scale_out.size();
+  for (const std::string& zone : zones) ScaleForJobsIn(zone, *snapshot, decision);
+  for (size_t i = requested_before; i < decision->scale_out.size(); ++i) {
+    const ScaleOutRequest& request = decision->scale_out[i];
+    snapshot->pending_scale_out[request.offer] += request.count;
+  }
+}
+
+void Autoscaler::ScaleForJobsIn(const std::string& zone, const ScalingSnapshot& snapshot,
+                                ScalingDecision* decision) const {
+  ScalingSnapshot bound = snapshot;
+  std::erase_if(bound.jobs, [&](const Job* job) { return job->spec.zone != zone; });
+  ArrayDemand demand = MeasureArrayDemand(bound, options_);
+  const CapacityMeter meter(bound, demand.typical);
+  ArrayCapacity capacity = MeasureArrayCapacity(bound, meter);
+  const ArrayShortfall shortfall =
+      MeasureArrayShortfall(&demand, capacity, UrgentLoadForecast(), options_);
+  ArrayScaleOutPlanner(bound, offers_, meter, demand, decision).Plan(shortfall, &capacity);
+  if (capacity.total > shortfall.required * kBoundCapacitySlack) return;
+  for (const Machine* machine : bound.machines) {
+    if (machine->type && meter.CapacityOf(*machine) > 0) decision->needed_by_jobs.insert(machine);
+  }
+}
+
 void Autoscaler::ScaleForGangs(const ScalingSnapshot& snapshot, ScalingDecision* decision) {
   const int waiting = ScaleOutForGangs(snapshot, gangs_, offers_, options_, decision);
   if (waiting > 0) summary_ += "gang members waiting " + std::to_string(waiting) + "; ";
--- a/src/core/placement/autoscaler.h
+++ b/src/core/placement/autoscaler.h
@@ -25,6 +25,12 @@
   // Called when the cloud could not provide all requested machines of this offer.
   void RecordRefusal(const InstanceOffer& offer, Micros now) { offers_.RecordRefusal(offer, now); }
 
+  // Called when a machine of the zone is given up because its agent did not answer, or, if
+  // `booting`, did not come up in time.
+  void RecordUnreachable(const std::string& zone, bool booting, Micros now) {
+    offers_.RecordUnreachable(zone, booting, now);
+  }
+
   // Called when a job is accepted, or read by a new leader, which knows earlier arrivals only from
   // unfinished jobs.
   void RecordArrayArrival(const JobSpec& spec, Micros arrived, Micros now);
@@ -53,6 +59,12 @@
 
  private:
   void ScaleForGangs(const ScalingSnapshot& snapshot, ScalingDecision* decision);
+  // For arrays and services that may only run in one of several zones: the capacity of the other
+  // zones is no use to them. Adds what is requested to the snapshot's pending requests, so that it
+  // counts as capacity for the others.
+  void ScaleForBoundJobs(ScalingSnapshot* snapshot, ScalingDecision* decision) const;
+  void ScaleForJobsIn(const std::string& zone, const ScalingSnapshot& snapshot,
+                      ScalingDecision* decision) const;
   void ScaleForArrays(const ScalingSnapshot& snapshot, ScalingDecision* decision);
   void SummarizeArrays(const ArrayDemand& demand, const ArrayCapacity& capacity,
                        const ArrayShortfall& shortfall);
--- a/src/core/placement/gang_scale_out.cpp
+++ b/src/core/placement/gang_scale_out.cpp
@@ -1,6 +1,9 @@
 #include "core/placement/gang_scale_out.h"
 
 #include <algorithm>
+#include <optional>
+#include <tuple>
+#include <utility>
 
 namespace badgershore {
 namespace {
@@ -24,6 +27,40 @@
   int64_t machines = 1;
 };
 
+// How many more members may go to each zone.
+class ZoneShares {
+ public:
+  explicit ZoneShares(int64_t most_in_zone, std::string only_zone = "")
+      : most_in_zone_(most_in_zone), only_zone_(std::move(only_zone)) {}
+
+  int64_t LeftIn(const std::string& zone) const {
+    if (!only_zone_.empty() && zone != only_zone_) return 0;
+    const auto it = taken_.find(zone);
+    return most_in_zone_ - (it == taken_.end() ? 0 : it->second);
+  }
+  void Take(const std::string& zone, int64_t members) { taken_[zone] += members; }
+
+ private:
+  int64_t most_in_zone_;
+  std::string only_zone_;  // empty: all zones
+  std::map<std::string, int64_t> taken_;
+};
+
+// A zone in which all members of a gang could be.
+struct ZoneOption {
+  std::string zone;
+  int64_t missing = 0;   // members for which machines have to be requested
+  bool refused = false;  // none can be requested
+  bool unreachable = false;
+  double price = 0;
+
+  // Zones in which the gang will run soon come first.
+  auto Order() const {
+    const bool waits = missing > 0;
+    return std::make_tuple(waits && refused, waits && unreachable, missing, price);
+  }
+};
+
 struct TeamPriority {
   int team = -1;
   Priority priority = Priority::kIdle;
@@ -75,7 +112,9 @@
     CollectRooms();
     const int waiting = ProvideForWaiting();
     ProvideForExpected();
-    for (const auto& [offer, count] : requested_) decision_->scale_out.push_back({offer, count});
+    for (const auto& [offer, count] : requested_) {
+      if (count > 0) decision_->scale_out.push_back({offer, count});
+    }
     return waiting;
   }
 
@@ -83,7 +122,7 @@
   void CollectRooms() {
     const Priority highest = HighestGangPriority(snapshot_, forecast_);
     for (Machine* m : snapshot_.machines) {
-      if (!IsUsable(*m)) continue;
+      if (!IsReachable(snapshot_, *m)) continue;
       Resources used;
       for (const auto& [key, allocation] : m->allocations) {
         if (BlocksGangs(allocation, highest, snapshot_.now)) used = used + allocation.need;
@@ -127,15 +166,103 @@
     return boot;
   }
 
+  // Provides for the members of a gang, or of several equal ones that are expected.
+  void ProvideForMembers(const JobSpec& spec, int64_t members) {
+    if (members <= 0 || !CanBePlaced(spec)) return;
+    if (spec.same_zone) {
+      const int64_t together = std::min<int64_t>(members, spec.tasks);
+      ProvideInOneZone(spec, together);
+      return ProvideInZones(spec, members - together, ZoneShares(members));
+    }
+    const int64_t most_in_zone = spec.spread ? (members + 1) / 2 : members;
+    ProvideInZones(spec, members,
+                   ZoneShares(std::max<int64_t>(most_in_zone, MaxTasksInZone(spec))));
+  }
+
+  // Whether the zones that the gang may use can hold it at all.
+  bool CanBePlaced(const JobSpec& spec) const {
+    const bool in_one_zone = spec.zone || spec.same_zone;
+    const auto zones = static_cast<int64_t>(in_one_zone ? 1 : snapshot_.zones->size());
+    return zones * MaxTasksInZone(spec) >= spec.tasks;
+  }
+
+  // Machines in other zones are kept for as long as the gang waits in this one: otherwise they
+  // would be requested again as soon as this zone refuses.
+  void ProvideInOneZone(const JobSpec& spec, int64_t members) {
+    const std::optional<ZoneOption> best = BestZone(spec, members);
+    if (!best) return;
+    if (best->missing > 0) KeepRooms(spec);
+    ProvideInZones(spec, members, ZoneShares(members, best->zone));
+  }
+
+  std::optional<ZoneOption> BestZone(const JobSpec& spec, int64_t members) const {
+    std::optional<ZoneOption> best;
+    for (const std::string& zone : *snapshot_.zones) {
+      if (spec.zone && *spec.zone != zone) continue;
+      const ZoneOption option = OptionIn(zone, spec, members);
+      if (!best || option.Order() < best->Order()) best = option;
+    }
+    return best;
+  }
+
+  ZoneOption OptionIn(const std::string& zone, const JobSpec& spec, int64_t members) const {
+    ZoneOption option;
+    option.zone = zone;
+    option.missing = members;
+    for (const MachineRoom& room : rooms_) {
+      if (room.zone != zone || !Allows(spec, *room.type, room.zone, room.spot)) continue;
+      option.missing -= std::min(option.missing, room.free.Holds(spec.need) * room.machines);
+    }
+    JobSpec in_zone = spec;
+    in_zone.zone = zone;
+    const std::vector<InstanceOffer> offers = offers_.OffersFor(snapshot_, in_zone);
+    const InstanceOffer* cheapest = offers_.Cheapest(snapshot_, offers);
+    option.refused = !cheapest;
+    option.unreachable = offers_.IsUnreachable(snapshot_, zone);
+    if (cheapest) option.price = HourlyPrice(snapshot_, *cheapest);
+    return option;
+  }
+
+  void KeepRooms(const JobSpec& spec) {
+    for (const MachineRoom& room : rooms_) {
+      if (!room.machine || !Allows(spec, *room.type, room.zone, room.spot)) continue;
+      if (room.free.Holds(spec.need) > 0) decision_->reserved_for_gangs.insert(room.machine);
+    }
+  }
+
   // Fills the rooms in their order, then requests machines. The time does not depend on the number
   // of members.
-  void ProvideForMembers(const JobSpec& spec, int64_t members) {
-    for (size_t i = 0; i < rooms_.size() && members > 0; ++i) members -= Occupy(i, spec, members);
-    if (members > 0) RequestMachines(spec, members);
+  void ProvideInZones(const JobSpec& spec, int64_t members, ZoneShares shares) {
+    for (size_t i = 0; i < rooms_.size() && members > 0; ++i) {
+      const std::string zone = rooms_[i].zone;
+      const int64_t taken = Occupy(i, spec, std::min(members, shares.LeftIn(zone)));
+      shares.Take(zone, taken);
+      members -= taken;
+    }
+    while (members > 0) {
+      const std::optional<InstanceOffer> offer = CheapestOffer(spec, shares);
+      if (!offer) return;
+      const int64_t taken =
+          RequestMachines(spec, *offer, std::min(members, shares.LeftIn(offer->zone)));
+      if (taken == 0) return;
+      shares.Take(offer->zone, taken);
+      members -= taken;
+    }
+  }
+
+  // The cheapest offer in a zone that may take more members.
+  std::optional<InstanceOffer> CheapestOffer(const JobSpec& spec, const ZoneShares& shares) const {
+    std::vector<InstanceOffer> offers = offers_.OffersFor(snapshot_, spec);
+    std::erase_if(offers, [&](const InstanceOffer& offer) {
+      return shares.LeftIn(offer.zone) <= 0 || offers_.MaxRequests(snapshot_, offer) == 0;
+    });
+    const InstanceOffer* cheapest = offers_.Cheapest(snapshot_, offers);
+    return cheapest ? std::optional<InstanceOffer>(*cheapest) : std::nullopt;
   }
 
   // Returns how many of the members the room takes.
   int64_t Occupy(size_t index, const JobSpec& spec, int64_t members) {
+    if (members <= 0) return 0;
     const MachineRoom room = rooms_[index];
     if (!Allows(spec, *room.type, room.zone, room.spot)) return 0;
     const int64_t fitting = room.free.Holds(spec.need);
@@ -163,19 +290,19 @@
     rooms_.insert(rooms_.begin() + static_cast<long>(index) + 1, std::move(rest));
   }
 
-  void RequestMachines(const JobSpec& spec, int64_t members) {
-    const std::vector<InstanceOffer> offers = offers_.OffersFor(snapshot_, spec);
-    const InstanceOffer* cheapest = CheapestOffer(snapshot_, offers);
-    if (!cheapest) return;
-    const MachineType& type = snapshot_.machine_types->at(cheapest->type);
+  // Returns for how many of the members machines are requested.
+  int64_t RequestMachines(const JobSpec& spec, const InstanceOffer& offer, int64_t members) {
+    const MachineType& type = snapshot_.machine_types->at(offer.type);
     const int64_t fitting = type.Capacity().Holds(spec.need);
+    const int64_t allowed = offers_.MaxRequests(snapshot_, offer);
     const int64_t machines =
-        std::min((members + fitting - 1) / fitting, kMaxMachinesPerDecision - requested_machines_);
-    if (machines <= 0) return;
+        std::min({(members + fitting - 1) / fitting, kMaxMachinesPerDecision - requested_machines_,
+                  allowed < INT64_MAX ? allowed - requested_[offer] : allowed});
+    if (machines <= 0) return 0;
     requested_machines_ += machines;
-    requested_[*cheapest] += static_cast<int>(machines);
-    rooms_.push_back({nullptr, &type, cheapest->zone, cheapest->spot, type.Capacity(), machines});
-    Occupy(rooms_.size() - 1, spec, members);
+    requested_[offer] += static_cast<int>(machines);
+    rooms_.push_back({nullptr, &type, offer.zone, offer.spot, type.Capacity(), machines});
+    return Occupy(rooms_.size() - 1, spec, members);
   }
 
   // Deducts the members' CPU from the team's headroom; false if that is not enough: members that
--- a/src/core/placement/scale_in.cpp
+++ b/src/core/placement/scale_in.cpp
@@ -32,7 +32,10 @@
   removable_ = CountRemovable();
   for (Machine* m : snapshot_.machines) {
     if (!IsUsable(*m) || m->stage != MachineStage::kUp) continue;
-    if (!decision_->reserved_for_gangs.contains(m)) ConsiderMachine(m);
+    if (decision_->reserved_for_gangs.contains(m) || decision_->needed_by_jobs.contains(m)) {
+      continue;
+    }
+    ConsiderMachine(m);
   }
   if (snapshot_.now - snapshot_.term_began_at > kTermSettleTime) Drain();
 }
--- a/src/core/placement/scale_in.h
+++ b/src/core/placement/scale_in.h
@@ -38,7 +38,7 @@
 class ScaleInPlanner {
  public:
   // All arguments must outlive this. Changes are added to `decision`; the machines that it reserves
-  // for gangs are kept.
+  // for gangs, or that some job needs, are kept.
   ScaleInPlanner(const ScalingSnapshot& snapshot, const GangForecast& gang_forecast,
                  const CapacityMeter& meter, const Options& options, ScalingDecision* decision)
       : snapshot_(snapshot),
--- a/src/core/placement/scaling_types.h
+++ b/src/core/placement/scaling_types.h
@@ -37,6 +37,8 @@
   std::vector<Machine*> release;  // idle machines that are released now
   // Machines with room that is reserved for waiting or expected gangs.
   std::set<const Machine*> reserved_for_gangs;
+  // Machines without which some array or service could not run. They are kept.
+  std::set<const Machine*> needed_by_jobs;
 };
 
 // State of the fleet and of the unfinished jobs at one time. The objects pointed to outlive the
@@ -44,6 +46,8 @@
 struct ScalingSnapshot {
   Micros now;
   Micros term_began_at;
+  // Machines that are up and have sent no heartbeat since this time get no tasks.
+  Micros reachable_since{-1};
   const std::map<std::string, MachineType>* machine_types = nullptr;
   std::vector<Machine*> machines;
   std::map<InstanceOffer, int> pending_scale_out;  // requested, no response yet
--- a/src/rehearsal/waiting.cpp
+++ b/src/rehearsal/waiting.cpp
@@ -17,6 +17,7 @@
     for (const Machine& m : machines) {
       if ((m.spot && !job.spot_ok) || (continues && !previous->second.machines.contains(m.id)))
         continue;
+      if (!job.zone.empty() && job.zone != m.zone) continue;
       const int64_t count = m.free.Holds(job.need);
       if (count <= 0) continue;
       wait.machines.insert(m.id);
--- a/src/rehearsal/waiting.h
+++ b/src/rehearsal/waiting.h
@@ -22,6 +22,7 @@
     int starts = 0;  // task starts so far
     bool spot_ok = false, same_zone = false;
     bool under_limit = true;  // throughout since the last call, even with this job's tasks
+    std::string zone = {};    // the only one allowed; empty: any
   };
   struct Machine {
     std::string id, zone;
