--- a/src/core/leader/dispatch.cpp
+++ b/src/core/leader/dispatch.cpp
@@ -10,6 +10,7 @@
 #include "core/leader/machine_table.h"
 #include "core/leader/quota_checker.h"
 #include "core/leader/reconciler.h"
+#include "core/leader/runtime_forecast.h"
 #include "core/leader/usage_accounting.h"
 #include "core/placement/autoscaler.h"
 
@@ -107,9 +108,12 @@
 void Dispatch::HoldMachinesForUnstartedJobs(Micros now) {
   if (now < next_hold_at_) return;
   next_hold_at_ = now + kHoldInterval;
-  for (const auto& [team, job] : OldestUnstartedJobs(now)) {
-    Machine* machine = MachineToHold(now, *job);
-    if (!machine) continue;
+  const std::map<int, Job*> jobs = OldestUnstartedJobs(now);
+  if (jobs.empty()) return;
+  const std::vector<ExpectedMachine> machines = ExpectedMachines(now);
+  for (const auto& [team, job] : jobs) {
+    Machine* machine = MachineToHold(now, *job, machines);
+    if (!machine || !machine->hold_period.Renew(now)) continue;
     machine->held_for = job;
     machine->held_tasks = 1;
     machine->held_until = now + kHoldDuration;
@@ -129,23 +133,32 @@
   return oldest;
 }
 
+std::vector<Dispatch::ExpectedMachine> Dispatch::ExpectedMachines(Micros now) const {
+  std::vector<ExpectedMachine> machines;
+  for (const auto& [id, machine] : machine_table().machines()) {
+    if (!machine_table().IsReady(*machine, now)) continue;
+    machines.push_back({machine.get(), ExpectedRoom(now, *machine, HoldPeriod::kMaxDuration)});
+  }
+  return machines;
+}
+
 // The machine that is already held for the job, else the one with the most free CPU; null if there
 // is none.
-Machine* Dispatch::MachineToHold(Micros now, const Job& job) const {
+Machine* Dispatch::MachineToHold(Micros now, const Job& job,
+                                 const std::vector<ExpectedMachine>& machines) const {
   const auto free_cpu = [](const Machine& machine) {
     return (machine.type->Capacity() - machine.Used()).cpu;
   };
   Machine* best = nullptr;
-  for (const auto& [id, machine] : machine_table().machines()) {
-    if (machine->held_for == &job && now < machine->held_until) return machine.get();
-    if (!machine_table().IsReady(*machine, now) || machine->reserved_for ||
+  for (const auto& [machine, room] : machines) {
+    if (machine->held_for == &job && now < machine->held_until) return machine;
+    if (machine->reserved_for || machine->hold_period.IsOpen(now) ||
         (machine->held_for && now < machine->held_until) ||
         !Allows(job.spec, *machine->type, machine->zone, machine->spot) ||
-        !ZoneAllows(job, machine->zone) ||
-        !job.spec.need.Fits(machine->type->Capacity() - machine->GangUse())) {
+        !ZoneAllows(job, machine->zone) || !job.spec.need.Fits(room)) {
       continue;
     }
-    if (!best || free_cpu(*machine) > free_cpu(*best)) best = machine.get();
+    if (!best || free_cpu(*machine) > free_cpu(*best)) best = machine;
   }
   return best;
 }
--- a/src/core/leader/dispatch.h
+++ b/src/core/leader/dispatch.h
@@ -24,8 +24,9 @@
   // Binds waiting tasks, job by job in round-robin order, within the budget for examining machines.
   // Later calls bind the rest.
   void BindWaiting(Micros now);
-  // Holds a machine for one unstarted job of each team. Its free resources are kept until the job's
-  // first task has started there.
+  // Holds a machine for one unstarted job of each team, where a task of it will fit soon. Its free
+  // resources are kept until the job's first task has started there, but not for longer than a hold
+  // period.
   void HoldMachinesForUnstartedJobs(Micros now);
   // Starts the tasks that fit on the machine and appends their start commands to `batch`.
   void StartTasksOn(Micros now, Machine* machine, CommandBatch* batch);
@@ -56,7 +57,14 @@
 
   // Holding machines.
   std::map<int, Job*> OldestUnstartedJobs(Micros now) const;
-  Machine* MachineToHold(Micros now, const Job& job) const;
+  // A machine, and what is expected to be free on it within a hold period.
+  struct ExpectedMachine {
+    Machine* machine;
+    Resources room;
+  };
+  std::vector<ExpectedMachine> ExpectedMachines(Micros now) const;
+  Machine* MachineToHold(Micros now, const Job& job,
+                         const std::vector<ExpectedMachine>& machines) const;
 
   // Starting. StartPreferred(), StartQueued() and StartRebound() start one task each, or return
   // false.
--- a/src/core/leader/gang_preemption.cpp
+++ b/src/core/leader/gang_preemption.cpp
@@ -10,6 +10,8 @@
 #include "core/leader/fair_share.h"
 #include "core/leader/machine_table.h"
 #include "core/leader/quota_checker.h"
+#include "core/leader/runtime_forecast.h"
+#include "core/model/hold_period.h"
 
 namespace badgershore {
 namespace {
@@ -57,10 +59,12 @@
   return std::min(ran, allocation.job->spec.checkpoint_duration + kRestartTime);
 }
 
-std::optional<double> GangPreemption::CostToClear(Micros now, const Machine& machine,
-                                                  const Job& gang, bool after_gangs) const {
+std::optional<GangPreemption::Clearing> GangPreemption::PlanClearing(Micros now,
+                                                                     const Machine& machine,
+                                                                     const Job& gang,
+                                                                     bool after_gangs) const {
   Resources kept = after_gangs ? Resources{} : machine.GangUse();
-  double cost = 0;
+  Clearing clearing;
   for (const auto& [key, allocation] : machine.allocations) {
     if (allocation.exited() || (!after_gangs && allocation.job && allocation.job->IsGang()))
       continue;
@@ -69,24 +73,23 @@
       kept = kept + allocation.need;  // its job has ended, and it is being stopped
       continue;
     }
-    const TaskState& t = allocation.job->tasks[static_cast<size_t>(allocation.ref.task)];
-    const double ran = std::max(0.0, (now - t.bound_at).ToSeconds());
+    const Micros remainder = ExpectedRemainder(now, allocation);
     if (MayPreempt(allocation, gang)) {
-      cost += LostRunTime(now, allocation).ToSeconds() * cpu;
-    } else if (allocation.job->IsService()) {
+      clearing.cost += LostRunTime(now, allocation).ToSeconds() * cpu;
+    } else if (remainder > HoldPeriod::kMaxDuration) {
       kept = kept + allocation.need;
     } else {
-      cost += kWaitForEndCost +
-              kWaitForEndFactor * cpu *
-                  std::max(1.0, allocation.job->spec.estimated_runtime.ToSeconds() - ran);
+      clearing.cost +=
+          kWaitForEndCost + kWaitForEndFactor * cpu * std::max(1.0, remainder.ToSeconds());
     }
   }
-  if (!gang.spec.need.Fits(machine.type->Capacity() - kept)) return std::nullopt;
+  clearing.room = machine.type->Capacity() - kept;
+  if (!gang.spec.need.Fits(clearing.room)) return std::nullopt;
   if (!machine.HasImage(gang.spec.image) && machine.type->fetch_gb_per_s > 0) {
-    cost += gang.spec.image_gb / machine.type->fetch_gb_per_s *
-            static_cast<double>(gang.spec.need.cpu) / 1000;
+    clearing.cost += gang.spec.image_gb / machine.type->fetch_gb_per_s *
+                     static_cast<double>(gang.spec.need.cpu) / 1000;
   }
-  return cost;
+  return clearing;
 }
 
 void GangPreemption::PreemptForGang(Micros now, Machine* machine, const Job& gang) {
--- a/src/core/leader/gang_preemption.h
+++ b/src/core/leader/gang_preemption.h
@@ -15,11 +15,16 @@
  public:
   using LeaderComponent::LeaderComponent;
 
-  // The cost, in CPU-seconds, of clearing the machine for members of the gang: lost run time and
-  // the image transfer. Empty if not even one member would fit. `after_gangs`: the gang waits until
-  // the gangs that run there have ended.
-  std::optional<double> CostToClear(Micros now, const Machine& machine, const Job& gang,
-                                    bool after_gangs) const;
+  // A machine that can be cleared for members of a gang.
+  struct Clearing {
+    double cost = 0;  // CPU-seconds: lost run time and the image transfer
+    Resources room;   // that the gang will have
+  };
+  // What clearing the machine takes. Empty if not even one member would fit within a hold period:
+  // services and tasks with long to go stay. `after_gangs`: the gang also waits until the gangs
+  // that run there have ended.
+  std::optional<Clearing> PlanClearing(Micros now, const Machine& machine, const Job& gang,
+                                       bool after_gangs) const;
   // Preempts tasks on the machine until the gang's reserved members fit, in order of the run time
   // that is lost, and clears the machine's queue.
   void PreemptForGang(Micros now, Machine* machine, const Job& gang);
--- a/src/core/leader/gang_reservations.cpp
+++ b/src/core/leader/gang_reservations.cpp
@@ -16,22 +16,13 @@
 constexpr double kReservedCost = -1;
 constexpr double kFailedMachinePenalty = 1e6;
 
-// The part of the machine's resources that the gang's reservation may use.
-Resources ReservableRoom(const Machine& machine, bool prioritized) {
-  return prioritized ? machine.type->Capacity() : machine.type->Capacity() - machine.GangUse();
-}
-
-int MembersThatFit(const Machine& machine, const Job& gang, int missing, bool prioritized) {
-  return static_cast<int>(
-      std::min<int64_t>(ReservableRoom(machine, prioritized).Holds(gang.spec.need), missing));
-}
-
 }  // namespace
 
 void GangReservations::ReserveFor(Micros now, Job* gang, bool prioritized) {
   if (!election()->MayStart(now)) return;
   const Selection selection = CheapestSelection(now, *gang, prioritized);
   ReleaseReservation(gang);
+  if (!RenewHolds(now, selection)) return;
   gang->has_reservation = !selection.machines.empty();
   const bool after_gangs = Reserve(selection, *gang);
   for (const Candidate& c : selection.machines) {
@@ -44,8 +35,7 @@
                                                                 bool prioritized) const {
   Selection best;
   for (const std::string& zone : CandidateZones(gang.spec, settings())) {
-    std::optional<Selection> selection =
-        Select(gang, Candidates(now, gang, zone, prioritized), prioritized);
+    std::optional<Selection> selection = Select(gang, Candidates(now, gang, zone, prioritized));
     if (!selection) continue;
     if (best.machines.empty() || selection->cost < best.cost) best = std::move(*selection);
   }
@@ -63,11 +53,13 @@
       continue;
     if (!zone.empty() && machine->zone != zone) continue;
     if (machine->reserved_for && machine->reserved_for != &gang) continue;
-    std::optional<double> cost = gang_preemption().CostToClear(now, *machine, gang, prioritized);
-    if (!cost) continue;
-    if (machine->reserved_for == &gang) *cost = kReservedCost;
-    if (machine->failed_jobs.count(gang.spec.id)) *cost += kFailedMachinePenalty;
-    candidates.push_back({machine.get(), *cost});
+    if (machine->hold_period.IsOpen(now)) continue;
+    const std::optional<GangPreemption::Clearing> clearing =
+        gang_preemption().PlanClearing(now, *machine, gang, prioritized);
+    if (!clearing) continue;
+    double cost = machine->reserved_for == &gang ? kReservedCost : clearing->cost;
+    if (machine->failed_jobs.count(gang.spec.id)) cost += kFailedMachinePenalty;
+    candidates.push_back({machine.get(), cost, clearing->room});
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
@@ -76,7 +68,7 @@
 
 // The first candidates that together hold all missing members; empty if even all of them can't.
 std::optional<GangReservations::Selection> GangReservations::Select(
-    const Job& gang, const std::vector<Candidate>& candidates, bool prioritized) const {
+    const Job& gang, const std::vector<Candidate>& candidates) {
   Selection selection;
   std::map<std::string, int> members_in_zone;
   int members = 0;
@@ -85,7 +77,7 @@
     int& zone_members = members_in_zone[c.machine->zone];
     const int missing =
         std::min(gang.remaining() - members, MaxTasksInZone(gang.spec) - zone_members);
-    c.members = MembersThatFit(*c.machine, gang, missing, prioritized);
+    c.members = static_cast<int>(std::min<int64_t>(c.room.Holds(gang.spec.need), missing));
     if (c.members == 0) continue;
     members += c.members;
     zone_members += c.members;
@@ -96,6 +88,13 @@
   return selection;
 }
 
+// Returns false if some machine has been held for so long that others must be able to use it.
+bool GangReservations::RenewHolds(Micros now, const Selection& selection) {
+  bool renewed = true;
+  for (const Candidate& c : selection.machines) renewed &= c.machine->hold_period.Renew(now);
+  return renewed;
+}
+
 // Returns whether other gangs still use resources of some of the machines that the gang needs.
 bool GangReservations::Reserve(const Selection& selection, const Job& gang) {
   bool after_gangs = false;
--- a/src/core/leader/gang_reservations.h
+++ b/src/core/leader/gang_reservations.h
@@ -20,7 +20,8 @@
 // Reserves machines for waiting gangs and has them cleared. Tasks are spread evenly, which leaves
 // no machine empty enough for a large member, so a gang would wait forever without a reservation. A
 // gang reserves machines for all of its missing members or for none: two gangs that each held half
-// of what they need would wait for each other forever.
+// of what they need would wait for each other forever. A machine is reserved only where the members
+// will fit soon, and after a while it is open to other jobs again, see HoldPeriod.
 class GangReservations : public LeaderComponent {
  public:
   using LeaderComponent::LeaderComponent;
@@ -38,6 +39,7 @@
   struct Candidate {
     Machine* machine;
     double cost;      // CPU-seconds, with penalties
+    Resources room;   // once it has been cleared
     int members = 0;  // for which a selection reserves the machine
   };
   struct Selection {
@@ -47,9 +49,9 @@
   Selection CheapestSelection(Micros now, const Job& gang, bool prioritized) const;
   std::vector<Candidate> Candidates(Micros now, const Job& gang, const std::string& zone,
                                     bool prioritized) const;
-  std::optional<Selection> Select(const Job& gang, const std::vector<Candidate>& candidates,
-                                  bool prioritized) const;
-  bool Reserve(const Selection& selection, const Job& gang);
+  static std::optional<Selection> Select(const Job& gang, const std::vector<Candidate>& candidates);
+  static bool RenewHolds(Micros now, const Selection& selection);
+  static bool Reserve(const Selection& selection, const Job& gang);
 };
 
 }  // namespace badgershore
--- a/src/core/leader/gang_scheduler.cpp
+++ b/src/core/leader/gang_scheduler.cpp
@@ -32,7 +32,7 @@
     if (was_unplaced && gang->placed > 0) gang_queue().RecordStart(now, *gang, prioritized);
     if (gang->is_being_placed) {
       // Its other members are placed in the next ticks, which must not exceed the team's limit.
-      quota_reservations().Reserve(*gang, gang->remaining() - gang->placed);
+      quota_reservations().ReserveForPlacement(*gang, gang->remaining() - gang->placed);
       continue;
     }
     if (!NeedsMachines(now, *gang)) {
@@ -74,7 +74,7 @@
 }
 
 // Whether the team's limit lets the gang run, now or after preemption of the team's tasks of lower
-// priority. Reserves the quota that the gang waits for.
+// priority. Reserves the quota that the gang waits for if it can start soon.
 bool GangScheduler::CheckGangQuota(Micros now, Job* gang, bool prioritized) {
   const bool allowed = quota_checker().Allows(*gang, gang->remaining());
   const bool attainable =
@@ -85,8 +85,12 @@
     gang_reservations().ReleaseReservation(gang);  // its reserved machines would stay idle
     gang->quota_blocked_since = kNever;
   }
-  // A prioritized gang also keeps its quota while its machines are being cleared.
-  if (!allowed || prioritized) quota_reservations().Reserve(*gang, gang->remaining());
+  // A prioritized gang also keeps its quota while its machines are being cleared. A gang that can't
+  // start soon, for example beside services, keeps no quota from others.
+  const bool waits = !allowed || prioritized;
+  if (waits && (attainable || quota_reservations().AllowsSoon(now, *gang))) {
+    quota_reservations().ReserveForWaiting(now, *gang);
+  }
   return attainable;
 }
 
--- a/src/core/leader/quota_reservations.cpp
+++ b/src/core/leader/quota_reservations.cpp
@@ -1,8 +1,16 @@
 #include "core/leader/quota_reservations.h"
 
+#include "core/leader/machine_table.h"
 #include "core/leader/quota_checker.h"
+#include "core/leader/runtime_forecast.h"
 
 namespace badgershore {
+namespace {
+
+// A forecast looks at the tasks on all machines.
+constexpr Micros kForecastInterval = Seconds(1);
+
+}  // namespace
 
 QuotaReservations::QuotaReservations(const LeaderContext* context)
     : LeaderComponent(context), teams_(settings().teams.size()) {}
@@ -16,6 +24,36 @@
   team.total[priority] = team.total[priority] + need;
 }
 
+void QuotaReservations::ReserveForWaiting(Micros now, const Job& gang) {
+  if (!quota_checker().IsLimited(gang.team)) return;
+  if (teams_[gang.team].hold_period.Renew(now)) Reserve(gang, gang.remaining());
+}
+
+void QuotaReservations::ReserveForPlacement(const Job& gang, int members) {
+  Reserve(gang, members);
+}
+
+bool QuotaReservations::AllowsSoon(Micros now, const Job& gang) {
+  if (!quota_checker().IsLimited(gang.team)) return true;
+  if (now >= next_forecast_at_) ForecastEnds(now);
+  const Resources missing = quota_checker().Shortfall(gang, gang.remaining());
+  const Resources& ending = teams_[gang.team].ending_soon;
+  return missing.cpu <= ending.cpu && missing.gpu <= ending.gpu;
+}
+
+void QuotaReservations::ForecastEnds(Micros now) {
+  next_forecast_at_ = now + kForecastInterval;
+  for (TeamReservations& team : teams_) team.ending_soon = {};
+  for (const auto& [id, machine] : machine_table().machines()) {
+    for (const auto& [key, allocation] : machine->allocations) {
+      if (allocation.exited()) continue;
+      if (ExpectedRemainder(now, allocation) > HoldPeriod::kMaxDuration) continue;
+      Resources& ending = teams_[allocation.team].ending_soon;
+      ending = ending + allocation.need;
+    }
+  }
+}
+
 void QuotaReservations::Clear() {
   for (TeamReservations& team : teams_) team.total = team.first = {};
 }
--- a/src/core/model/fleet.h
+++ b/src/core/model/fleet.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/model/effects.h"
+#include "core/model/hold_period.h"
 #include "core/model/jobs.h"
 #include "core/model/types.h"
 
@@ -110,6 +111,7 @@
   const Job* held_for = nullptr;
   int held_tasks = 0;
   Micros held_until;
+  HoldPeriod hold_period;  // of the reservation for a gang, or of the room that is held
   bool draining = false;
   Micros idle_since{-1};
   Micros start_backoff_until;  // no starts before this time, after the agent refused one
--- a/tests/kept_scenario_test.cpp
+++ b/tests/kept_scenario_test.cpp
@@ -34,6 +34,7 @@
                                                    "leader-unheard",
                                                    "leader-without-state",
                                                    "leaders-stand-still",
+                                                   "limit-beside-services",
                                                    "limits-cancelled-beside-reserved-start",
                                                    "limits-cut-between",
                                                    "limits-equal",
