Tell an agent that was restarted from the process before it

Such a heartbeat has a higher number and doesn't list a task that the new process has been told to start. The leader took this as proof that the start was never received, and started the task elsewhere: it ran twice. A late copy of a start can't do it: starts leave in answers to heartbeats alone, and an agent takes an answer only for the heartbeat in flight. The agent numbered its heartbeats from 1 after each start, so an answer from before a restart could match; numbers now begin at random. Change: the HTTP server counts connections as it accepts them. A heartbeat on an older connection than the last one taken is superseded, and the answer to a direct call counts only if the agent has not connected again. Each kind of message to agents says in effects.h why it may come again. Rehearsal: the troubles late_commands, command_copies, machines_restart; a start in a direct call is a violation; responses are matched to an agent's process by a number instead of an address, which may be reused.

--- a/src/adapters/controller_server.cpp
+++ b/src/adapters/controller_server.cpp
@@ -272,8 +272,9 @@
 }
 
 io::Task<http::ServerResponse> ControllerServer::HandleHeartbeat(http::Message request) {
-  const std::optional<Heartbeat> heartbeat = wire::ParseHeartbeat(request.body);
+  std::optional<Heartbeat> heartbeat = wire::ParseHeartbeat(request.body);
   if (!heartbeat) co_return ErrorResponse(400, "malformed report");
+  heartbeat->connection = request.connection;
   ++metrics_.heartbeats;
   metrics_.heartbeat_bytes += request.body.size();
   const RequestId request_id = ++last_request_id_;
--- a/src/agent/core/agent.cpp
+++ b/src/agent/core/agent.cpp
@@ -15,6 +15,7 @@
 Agent::Agent(Settings settings, uint64_t jitter, Micros now)
     : settings_(std::move(settings)),
       jitter_(jitter | 1),
+      heartbeat_id_(jitter),
       lease_end_(now + settings_.lease),
       sent_at_(now - kMinHeartbeatGap),
       next_heartbeat_at_(now) {
--- a/src/agent/core/agent.h
+++ b/src/agent/core/agent.h
@@ -45,7 +45,9 @@
 
 class Agent {
  public:
-  // `jitter` spreads heartbeats: each is sent 0.75 to 1.25 intervals after the previous one.
+  // `jitter`: a random number, different after each restart. It spreads heartbeats: each is sent
+  // 0.75 to 1.25 intervals after the previous one. Their ids begin with it, so that a late answer
+  // to a heartbeat before the restart is not taken for one to a new heartbeat.
   Agent(Settings settings, uint64_t jitter, Micros now);
 
   void Tick(Micros now);
@@ -109,6 +111,7 @@
 
   Settings settings_;
   uint64_t jitter_;
+  uint64_t heartbeat_id_;  // of the last heartbeat that was sent
   std::map<TaskKey, TaskEntry> tasks_;
   std::map<std::string, bool> images_;   // requested or present; true if present
   std::optional<Micros> preemption_at_;  // when the machine will be preempted
@@ -116,7 +119,6 @@
   Micros lease_end_;
   // Heartbeats.
   size_t controller_index_ = 0;
-  uint64_t heartbeat_id_ = 0;
   bool heartbeat_in_flight_ = false;
   uint64_t sent_epoch_ = 0;
   Micros sent_at_, next_heartbeat_at_, retry_at_;
--- a/src/config/scenario.cpp
+++ b/src/config/scenario.cpp
@@ -101,18 +101,19 @@
 
 Fault ReadFault(YamlMap m, Micros end, const StateServiceLimits& state) {
   Fault t;
-  t.kind =
-      static_cast<Fault::Kind>(m.OneOf("kind", {"cloud_down",      "cloud_empty",   "grants_vanish",
-                                                "boots_never",     "spot_wave",     "state_down",
-                                                "state_mute",      "state_late",    "state_restart",
-                                                "disk_full",       "kill",          "cut",
-                                                "machines_fail",   "machines_die",  "freeze",
-                                                "restore",         "limit",         "retire",
-                                                "state_refuses",   "state_slow",    "late_writes",
-                                                "late_reports",    "machines_deaf", "machines_mute",
-                                                "machines_hang",   "cancel_now",    "cancel_at_end",
-                                                "close_looks",     "odd_requests",  "state_limits",
-                                                "reports_for_next"}));
+  t.kind = static_cast<Fault::Kind>(
+      m.OneOf("kind", {"cloud_down",      "cloud_empty",    "grants_vanish",
+                       "boots_never",     "spot_wave",      "state_down",
+                       "state_mute",      "state_late",     "state_restart",
+                       "disk_full",       "kill",           "cut",
+                       "machines_fail",   "machines_die",   "freeze",
+                       "restore",         "limit",          "retire",
+                       "state_refuses",   "state_slow",     "late_writes",
+                       "late_reports",    "machines_deaf",  "machines_mute",
+                       "machines_hang",   "cancel_now",     "cancel_at_end",
+                       "close_looks",     "odd_requests",   "state_limits",
+                       "late_commands",   "command_copies", "machines_restart",
+                       "reports_for_next"}));
   t.at = m.Span("at_s", 0, end.ToSeconds());
   t.span = m.Span("for_s", 0, end.ToSeconds(), 0);
   t.share = m.Number("share", 0, 1, 1);
--- a/src/config/scenario.h
+++ b/src/config/scenario.h
@@ -70,6 +70,12 @@
     kQueryBursts,   // within milliseconds of a response users query all nodes and submit again
     kUnusualRequests,  // duplicate submissions, cancellations of finished jobs, jobs that can't run
     kStateLimits,      // the state service's limits change to `limits` for good
+    kDelayedCommands,  // `share` of the direct commands get no response and are executed 2 to 16 s
+                       // later
+    kDuplicateCommands,  // a duplicate of `share` of the direct commands, and of the responses to
+                         // heartbeats, arrives 2 s to a lease later
+    kMachinesRestart,    // the agents of `share` of the machines end with all tasks and are back
+                         // within a second, in their first epoch and without a fencing token
     kHeartbeatsHeldForNextLeader  // copies of `share` of the heartbeats reach all nodes after a new
                                   // leader started
   };
--- a/src/core/leader/agent_client.cpp
+++ b/src/core/leader/agent_client.cpp
@@ -54,14 +54,20 @@
   }
 }
 
+Machine* AgentClient::AnsweringMachine(const std::string& id, uint64_t connection) const {
+  Machine* machine = machine_table().Find(id);
+  return machine && machine->connection == connection ? machine : nullptr;
+}
+
 void AgentClient::SendCommands(CommandRequest request) {
-  outbox()->SendCommand(
-      request, Guarded([this, id = request.machine](Micros now, CommandResponse& response) {
-        Machine* answered = machine_table().Find(id);
-        if (!answered || !response.heartbeat || response.status != 200) return;
-        heartbeat_processor().Process(now, answered, *response.heartbeat,
-                                      HeartbeatSource::kDirectCall);
-      }));
+  const uint64_t connection = machine_table().Find(request.machine)->connection;
+  outbox()->SendCommand(request, Guarded([this, id = request.machine, connection](
+                                             Micros now, CommandResponse& response) {
+                          Machine* answered = AnsweringMachine(id, connection);
+                          if (!answered || !response.heartbeat || response.status != 200) return;
+                          heartbeat_processor().Process(now, answered, *response.heartbeat,
+                                                        HeartbeatSource::kDirectCall);
+                        }));
 }
 
 void AgentClient::Tick() {
@@ -80,18 +86,22 @@
   machine->probe_at = now + kProbeInterval;
   CommandRequest request = RequestTo(*machine);
   request.agent_epoch = std::max<uint64_t>(machine->agent_epoch, 1);
-  outbox()->SendCommand(request,
-                        Guarded([this, id = machine->id, probed_epoch = request.agent_epoch](
-                                    Micros t, CommandResponse& response) {
-                          OnProbeAnswer(t, id, probed_epoch, response);
-                        }));
+  outbox()->SendCommand(
+      request, Guarded([this, id = machine->id, probed_epoch = request.agent_epoch,
+                        connection = machine->connection](Micros t, CommandResponse& response) {
+        if (Machine* probed = machine_table().Find(id)) {
+          probed->probe_in_flight = false;
+        }
+        if (AnsweringMachine(id, connection)) {
+          OnProbeAnswer(t, id, probed_epoch, response);
+        }
+      }));
 }
 
 void AgentClient::OnProbeAnswer(Micros now, const std::string& id, uint64_t probed_epoch,
                                 const CommandResponse& response) {
   Machine* machine = machine_table().Find(id);
   if (!machine) return;
-  machine->probe_in_flight = false;
   if (!response.heartbeat || response.heartbeat->machine != id) return;
   const Heartbeat& heartbeat = *response.heartbeat;
   if (heartbeat.fencing_token > election()->term()) {
--- a/src/core/leader/agent_client.h
+++ b/src/core/leader/agent_client.h
@@ -43,6 +43,9 @@
   void SendCommands(CommandRequest request);
   void OnProbeAnswer(Micros now, const std::string& id, uint64_t probed_epoch,
                      const CommandResponse& response);
+  // The machine that has answered a call; null if it is gone, or if its agent has connected again
+  // since the call was made. The answer may then be that of the agent before a restart.
+  Machine* AnsweringMachine(const std::string& id, uint64_t connection) const;
 
   // Stops sent since the last tick, and the machines whose stops are delayed.
   size_t stops_sent_ = 0;
--- a/src/core/leader/heartbeat_handler.cpp
+++ b/src/core/leader/heartbeat_handler.cpp
@@ -49,6 +49,7 @@
   const bool fresh =
       heartbeat_processor().Process(now, machine, heartbeat, HeartbeatSource::kAgent);
   machine->heartbeat_sequence = heartbeat.sequence;
+  machine->connection = heartbeat.connection;
   machine->first_answered_at = {-1};
   if (!fresh) {  // a direct call has returned newer state
     AgentClient::AddStops(*machine, &batch);
--- a/src/core/model/effects.h
+++ b/src/core/model/effects.h
@@ -140,6 +140,9 @@
   uint64_t agent_epoch = 0, sequence = 0, fencing_token = 0;
   std::optional<Micros> preemption_notice;
   std::vector<TaskStatus> tasks;
+  // Number of the connection on which it arrived, in the order in which this controller accepted
+  // them; 0: unknown, or the response to a direct call.
+  uint64_t connection = 0;
 };
 struct Command {
   enum class Verb { kStart, kStop, kForget };
@@ -153,6 +156,9 @@
   return std::any_of(commands.begin(), commands.end(),
                      [](const Command& command) { return command.verb == Command::Verb::kStart; });
 }
+// Carries all starts. A response that is late or comes again is harmless: an agent executes only
+// the response to the heartbeat that it has in flight, and an agent that has been restarted has
+// other heartbeats in flight.
 struct HeartbeatResponse {
   RequestId request_id = 0;
   int status = 503;  // 200, 421 or 503
@@ -163,6 +169,10 @@
   // heartbeat is then answered with 503.
   Micros valid_until = kNever;
 };
+// A direct call: stops, or no commands to raise the fencing token and read the agent's state. It
+// may be executed late, or again, also by an agent that has been restarted: a stop names an
+// attempt, which is never started again once it has been stopped, and nothing else is sent this
+// way.
 struct CommandRequest {
   RequestId id = 0;
   std::string machine, endpoint;
--- a/src/core/model/fleet.h
+++ b/src/core/model/fleet.h
@@ -84,10 +84,14 @@
   // First response to a heartbeat with the fencing token of an earlier term, since the agent last
   // sent one with the current token.
   Micros first_answered_at{-1};
+  // Connection of the last heartbeat that was taken from the agent. An agent that was restarted
+  // within its lease counts epochs and heartbeats from the beginning, so that heartbeats of the
+  // process before it may seem to be newer. They arrive on connections that are older.
+  uint64_t connection = 0;
   // The agent, which has only one heartbeat in flight, has sent a later one and no longer waits for
   // a response to this one.
   bool IsSuperseded(const Heartbeat& r) const {
-    return r.agent_epoch < agent_epoch ||
+    return r.agent_epoch < agent_epoch || r.connection < connection ||
            (r.agent_epoch == agent_epoch && r.sequence <= heartbeat_sequence);
   }
   Micros rented_at;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,8 @@
   bool chunked = false;
   bool close = false;
   std::string body;
+  // Set by the server: counts its connections in the order in which they were accepted.
+  uint64_t connection = 0;
 };
 
 // Parses a message from bytes that arrive in pieces of any size.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -26,6 +26,7 @@
 
 io::Task<void> Server::Serve(io::Socket socket) {
   ++connections_;
+  const uint64_t connection = ++accepted_connections_;
   Parser parser(Parser::Kind::kRequest, limits_);
   std::string pending;
   bool open = true;
@@ -55,6 +56,7 @@
       break;
     }
     Message request = parser.Take();
+    request.connection = connection;
     const bool close = request.close;
     ServerResponse answer = co_await handler_(std::move(request));
     if (answer.close_connection) break;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -40,6 +40,7 @@
   size_t max_connections_;
   Limits limits_;  // for requests
   size_t connections_ = 0;
+  uint64_t accepted_connections_ = 0;
   io::Socket listener_;
 };
 
--- a/src/rehearsal/machines.cpp
+++ b/src/rehearsal/machines.cpp
@@ -20,6 +20,7 @@
   s.lease = scenario_.site.agent_lease;
   s.gang_wait = scenario_.site.gang_start_timeout;
   w.agent = std::make_unique<agent::Agent>(s, clock_.random(), now_);
+  w.incarnation = ++agent_incarnations_;
   Event e;
   e.kind = Event::Kind::kMachineUp;
   e.machine = m.id;
@@ -46,6 +47,14 @@
   RecordEvent(e);
 }
 
+void World::RestartMachine(const std::string& id) {
+  OnMachineGone(id);
+  Schedule(now_ + RandomDuration(0.1, 0.9), [this, id] {
+    const Cloud::Machine& machine = cloud_.machines().at(id);
+    if (machine.gone_at > now_ && machine.failed_at > now_) OnMachineUp(machine);
+  });
+}
+
 void World::RecordTaskExit(const std::string& machine, const TaskKey& task) {
   if (workers_.at(machine).running_tasks.erase(task) == 0) return;
   Event e;
@@ -69,22 +78,22 @@
   if (w.hung_until > now_) return;
   w.hung_until = now_ + span;
   RecordNote("hangs " + id);
-  Schedule(w.hung_until, [this, id, agent = w.agent.get()] {
+  Schedule(w.hung_until, [this, id, incarnation = w.incarnation] {
     auto it = workers_.find(id);
-    if (it == workers_.end() || it->second.agent.get() != agent) return;
-    agent->Tick(now_);
+    if (it == workers_.end() || it->second.incarnation != incarnation) return;
+    it->second.agent->Tick(now_);
     ProcessAgentActions(id);
   });
 }
 
 void World::ProcessAgentActions(const std::string& id) {
   Worker& w = workers_.at(id);
-  const auto alive = [this, id, agent = w.agent.get()](auto then) {
-    return [this, id, agent, then] {
-      const auto now = [this, id, agent, then] {
+  const auto alive = [this, id, incarnation = w.incarnation](auto then) {
+    return [this, id, incarnation, then] {
+      const auto now = [this, id, incarnation, then] {
         auto it = workers_.find(id);
-        if (it == workers_.end() || it->second.agent.get() != agent) return;
-        then(agent);
+        if (it == workers_.end() || it->second.incarnation != incarnation) return;
+        then(it->second.agent.get());
         ProcessAgentActions(id);
       };
       if (HungUntil(id) > now_) return Schedule(HungUntil(id), now);
@@ -99,10 +108,18 @@
         wire::Call call{"POST", "/checkin", wire::FormatHeartbeat(c.report), Seconds(4)};
         SendRequest(
             id, NodeName(c.controller), std::move(call),
-            [this, alive, report = c.report_id, to = c.controller](int status,
-                                                                   const std::string& body) {
+            [this, id, alive, report = c.report_id, to = c.controller](int status,
+                                                                       const std::string& body) {
               if (status == 200) last_known_leader_ = static_cast<int>(to);
               const HeartbeatResponse a = wire::ParseHeartbeatResponse(std::max(status, 0), body);
+              const Micros duplicate_delay =
+                  status == 200
+                      ? message_faults_.CommandDuplicateDelay(&clock_, scenario_.site.agent_lease)
+                      : Micros{};
+              if (duplicate_delay.count > 0) {
+                Schedule(now_ + duplicate_delay,
+                         [this, id, report, a] { DeliverDuplicateResponse(id, report, a); });
+              }
               alive([this, report, a](agent::Agent* agent) { agent->OnAnswer(now_, report, a); })();
             });
         break;
@@ -174,6 +191,14 @@
            }));
 }
 
+void World::DeliverDuplicateResponse(const std::string& machine, uint64_t report_id,
+                                     const HeartbeatResponse& response) {
+  const auto it = workers_.find(machine);
+  if (it == workers_.end() || it->second.hung_until > now_) return;
+  it->second.agent->OnAnswer(now_, report_id, response);
+  ProcessAgentActions(machine);
+}
+
 void World::HandleMachineRequest(const std::string& machine, uint64_t id, const wire::Call& call) {
   auto it = workers_.find(machine);
   if (it == workers_.end()) return;  // the machine is gone: no response
@@ -183,6 +208,11 @@
   }
   const std::optional<CommandRequest> op = wire::ParseCommandRequest(call.body);
   if (!op) return Respond(id, 400, "{}");
+  // A start that arrives late, or again, could run a task beside its next attempt.
+  if (HasStarts(op->commands)) {
+    context_->result.violations.push_back(
+        {"direct_start", now_.ToSeconds(), "a direct command to " + machine + " starts tasks"});
+  }
   const int status =
       it->second.agent->OnCommands(now_, op->fencing_token, op->agent_epoch, op->commands);
   Respond(id, status, wire::FormatHeartbeat(it->second.agent->Status()));
--- a/src/rehearsal/network.cpp
+++ b/src/rehearsal/network.cpp
@@ -118,6 +118,14 @@
     });
     return;
   }
+  if (call.target == "/do" && id != 0) {
+    const auto execute_again = [this, to, call] { HandleRequest(0, to, call); };
+    const Micros delay = message_faults_.CommandDelay(&clock_);
+    if (delay.count > 0) return Schedule(now_ + delay, execute_again);
+    const Micros duplicate_delay =
+        message_faults_.CommandDuplicateDelay(&clock_, scenario_.site.agent_lease);
+    if (duplicate_delay.count > 0) Schedule(now_ + duplicate_delay, execute_again);
+  }
   HandleMachineRequest(to, id, call);
 }
 
--- a/src/rehearsal/nodes.cpp
+++ b/src/rehearsal/nodes.cpp
@@ -221,7 +221,11 @@
   const RequestId token = ++n.next_token;
   n.callers[token] = id;
   if (call.target == "/checkin") {
-    n.controller->OnHeartbeat(now_, token, *wire::ParseHeartbeat(call.body));
+    Heartbeat heartbeat = *wire::ParseHeartbeat(call.body);
+    // Each heartbeat has a connection of its own, opened when it was sent. A duplicate (id 0) has a
+    // new one.
+    heartbeat.connection = id != 0 ? id : ++next_call_;
+    n.controller->OnHeartbeat(now_, token, heartbeat);
   } else if (call.target == "/work") {
     n.controller->OnSubmit(now_, token, wire::ParseSubmission(call.body, now_.ToMillis()));
   } else if (call.target.ends_with("/withdraw")) {
--- a/src/rehearsal/troubles.cpp
+++ b/src/rehearsal/troubles.cpp
@@ -89,6 +89,14 @@
     case Kind::kDuplicateHeartbeats:
       message_faults_.duplicate_heartbeat_share = t.share;
       return at_end([this] { message_faults_.duplicate_heartbeat_share = 0; });
+    case Kind::kDelayedCommands:
+      message_faults_.delayed_command_share = t.share;
+      return at_end([this] { message_faults_.delayed_command_share = 0; });
+    case Kind::kDuplicateCommands:
+      message_faults_.duplicate_command_share = t.share;
+      return at_end([this] { message_faults_.duplicate_command_share = 0; });
+    case Kind::kMachinesRestart:
+      return each_machine([&](const std::string& id) { RestartMachine(id); });
     case Kind::kMachinesReceiveNothing:
       return each_machine([&](const std::string& id) {
         message_faults_.cannot_receive.insert(id);
--- a/src/rehearsal/world.h
+++ b/src/rehearsal/world.h
@@ -127,6 +127,9 @@
   void HandleNodeRequest(size_t index, uint64_t id, const wire::Call& call);
   void HandleStateRequest(uint64_t id, const wire::Call& call);
   void HandleMachineRequest(const std::string& machine, uint64_t id, const wire::Call& call);
+  // Delivers a duplicate of a response to a heartbeat to the machine's present agent.
+  void DeliverDuplicateResponse(const std::string& machine, uint64_t report_id,
+                                const HeartbeatResponse& response);
   void Respond(uint64_t id, int status, std::string body);
   // Reports a message to or from a machine that exceeds the protocol's limit as a violation.
   void CheckMessageSize(const std::string& from, const std::string& to, const std::string& body);
@@ -154,6 +157,7 @@
   // Workers.
   void OnMachineUp(const Cloud::Machine& m);
   void OnMachineGone(const std::string& id);
+  void RestartMachine(const std::string& id);
   void ProcessAgentActions(const std::string& id);
   // A hung machine does nothing until then; messages to it are handled afterwards.
   Micros HungUntil(const std::string& id) const;
@@ -204,6 +208,7 @@
   };
   struct Worker {
     std::unique_ptr<agent::Agent> agent;
+    uint64_t incarnation = 0;  // different for each agent, also on the same machine
     MachineRecord record;
     double fetch_gb_per_s = 1;
     bool fails_tasks = false;
@@ -261,6 +266,7 @@
   Cloud cloud_;
   TaskEmulator task_emulator_;
   std::map<std::string, Worker> workers_;
+  uint64_t agent_incarnations_ = 0;
   std::map<std::string, UserJob> jobs_;
 };
 
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -135,6 +135,33 @@
   EXPECT_TRUE(HasAction(Kind::kLaunch));  // a forgotten task can be started again
 }
 
+// Guards against a task on two machines: an agent is back within a second of its end, and an answer
+// to the process before it, with a start that was carried out long ago, arrives once more. The task
+// may have been moved or cancelled in between.
+TEST_F(AgentTest, AnswerToTheProcessBeforeARestartIsDropped) {
+  const Action before = *TakeHeartbeat();
+  HeartbeatResponse answer;
+  answer.status = 200;
+  answer.fencing_token = 5;
+  answer.commands = {Start("job-1", 0, 1)};
+  agent.OnAnswer(now, before.report_id, answer);
+  agent = Agent({{"n-1", "n-1:1", "box", "a", false},
+                 {4000, 0, 8000},
+                 {"m-0", "m-1"},
+                 Seconds(5),
+                 Seconds(20),
+                 Seconds(30)},
+                99, now);
+  agent.Tick(now);
+  ASSERT_TRUE(TakeHeartbeat());
+  agent.OnAnswer(now, before.report_id, answer);
+  EXPECT_EQ(agent.tasks(), 0u);
+  EXPECT_EQ(agent.fencing_token(), 0u);
+  // Its own answer is executed, once.
+  Advance(Seconds(60));
+  EXPECT_EQ(agent.tasks(), 0u);
+}
+
 TEST_F(AgentTest, LowerFencingTokenIsIgnoredAndDoesNotRenewTheLease) {
   StartRunningTask();
   const Micros renewed = now;
--- a/tests/kept_scenario_test.cpp
+++ b/tests/kept_scenario_test.cpp
@@ -31,6 +31,7 @@
                                                    "handover-rolling",
                                                    "jobs-with-a-mistake",
                                                    "just-won-then-down",
+                                                   "late-copies",
                                                    "leader-unheard",
                                                    "leader-without-state",
                                                    "leaders-stand-still",
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -490,6 +490,7 @@
         w.named.count("tally") ? static_cast<uint64_t>(w.Number("tally", 0)) : ++sequence_[machine];
     sequence_[machine] = std::max(sequence_[machine], r.sequence);
     r.fencing_token = static_cast<uint64_t>(w.Number("baton", 1));
+    r.connection = static_cast<uint64_t>(w.Number("connection", 0));
     if (w.named.count("notice")) r.preemption_notice = Seconds(w.Number("notice", 0));
     static const std::map<std::string, TaskPhase> kTaskPhases = {
         {"fetching", TaskPhase::kFetchingImage},
