Read no task names that commands can't repeat; pass a call by reference

A report may name a task of any length. Its stop would not fit in one message, and the division of stops into calls would not end.

--- a/src/core/leader/agent_client.cpp
+++ b/src/core/leader/agent_client.cpp
@@ -50,7 +50,7 @@
     CommandRequest request = RequestTo(*machine);
     CommandBatch batch(&request.commands);
     while (next != stops.end() && batch.Add(*next)) ++next;
-    SendCommands(std::move(request));
+    SendCommands(request);
   }
 }
 
@@ -59,7 +59,7 @@
   return machine && machine->connection == connection ? machine : nullptr;
 }
 
-void AgentClient::SendCommands(CommandRequest request) {
+void AgentClient::SendCommands(const CommandRequest& request) {
   const uint64_t connection = machine_table().Find(request.machine)->connection;
   outbox()->SendCommand(request, Guarded([this, id = request.machine, connection](
                                              Micros now, CommandResponse& response) {
--- a/src/core/leader/agent_client.h
+++ b/src/core/leader/agent_client.h
@@ -40,7 +40,7 @@
  private:
   static std::vector<Command> RequestedStops(const Machine& machine);
   CommandRequest RequestTo(const Machine& machine) const;
-  void SendCommands(CommandRequest request);
+  void SendCommands(const CommandRequest& request);
   void OnProbeAnswer(Micros now, const std::string& id, uint64_t probed_epoch,
                      const CommandResponse& response);
   // The machine that has answered a call; null if it is gone, or if its agent has connected again
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -127,7 +127,8 @@
 
 bool ParseTaskRef(const std::string& name, TaskRef* out) {
   const size_t slash = name.rfind('/');
-  if (slash == std::string::npos || slash + 1 >= name.size() || name.size() - slash > 8) {
+  if (slash == std::string::npos || slash + 1 >= name.size() || name.size() - slash > 8 ||
+      slash > kMaxNameBytes) {
     return false;
   }
   out->job = name.substr(0, slash);
--- a/tests/message_size_test.cpp
+++ b/tests/message_size_test.cpp
@@ -54,6 +54,19 @@
   }
 }
 
+// Guards against a report with a name that no command can repeat within the limit: the stop for it
+// would be tried for ever.
+TEST(MessageSize, TaskOfAnImpossiblyLongNameIsNotRead) {
+  Heartbeat heartbeat;
+  heartbeat.machine = "n-1";
+  heartbeat.agent_epoch = 1;
+  heartbeat.tasks = {{{JobOfLength(70000), 0}, 1}, {{JobOfLength(100), 0}, 1}};
+  const std::optional<Heartbeat> read = wire::ParseHeartbeat(wire::FormatHeartbeat(heartbeat));
+  ASSERT_TRUE(read);
+  ASSERT_EQ(read->tasks.size(), 1u);
+  EXPECT_EQ(read->tasks.front().ref.job, JobOfLength(100));
+}
+
 // Checks every report and every message with commands of a site.
 class MessageLimit : public testing::Test {
  protected:
