Let gangs past the age limit reserve behind tasks of up to three minutes

Cause: with a hold period of 70 s for all, a gang that may not preempt the tasks on the only machines of its size was never started while some task there had more than 70 s to go. Change: past the age limit of 120 s both the horizon and the hold period of a gang are 180 s; others keep 70 s.

--- a/src/core/leader/dispatch.cpp
+++ b/src/core/leader/dispatch.cpp
@@ -113,7 +113,7 @@
   const std::vector<ExpectedMachine> machines = ExpectedMachines(now);
   for (const auto& [team, job] : jobs) {
     Machine* machine = MachineToHold(now, *job, machines);
-    if (!machine || !machine->hold_period.Renew(now)) continue;
+    if (!machine || !machine->hold_period.Renew(now, HoldPeriod::kMaxDuration)) continue;
     machine->held_for = job;
     machine->held_tasks = 1;
     machine->held_until = now + kHoldDuration;
--- a/src/core/leader/gang_preemption.cpp
+++ b/src/core/leader/gang_preemption.cpp
@@ -11,7 +11,6 @@
 #include "core/leader/machine_table.h"
 #include "core/leader/quota_checker.h"
 #include "core/leader/runtime_forecast.h"
-#include "core/model/hold_period.h"
 
 namespace badgershore {
 namespace {
@@ -76,7 +75,7 @@
     const Micros remainder = ExpectedRemainder(now, allocation);
     if (MayPreempt(allocation, gang)) {
       clearing.cost += LostRunTime(now, allocation).ToSeconds() * cpu;
-    } else if (remainder > HoldPeriod::kMaxDuration) {
+    } else if (remainder > MaxHold(now, gang, options().age_limit)) {
       kept = kept + allocation.need;
     } else {
       clearing.cost +=
--- a/src/core/leader/gang_reservations.cpp
+++ b/src/core/leader/gang_reservations.cpp
@@ -7,6 +7,7 @@
 #include "core/leader/gang_placement.h"
 #include "core/leader/gang_preemption.h"
 #include "core/leader/machine_table.h"
+#include "core/leader/runtime_forecast.h"
 
 namespace badgershore {
 namespace {
@@ -22,7 +23,7 @@
   if (!election()->MayStart(now)) return;
   const Selection selection = CheapestSelection(now, *gang, prioritized);
   ReleaseReservation(gang);
-  if (!RenewHolds(now, selection)) return;
+  if (!RenewHolds(now, *gang, selection)) return;
   gang->has_reservation = !selection.machines.empty();
   const bool after_gangs = Reserve(selection, *gang);
   for (const Candidate& c : selection.machines) {
@@ -89,9 +90,12 @@
 }
 
 // Returns false if some machine has been held for so long that others must be able to use it.
-bool GangReservations::RenewHolds(Micros now, const Selection& selection) {
+bool GangReservations::RenewHolds(Micros now, const Job& gang, const Selection& selection) const {
+  const Micros max_duration = MaxHold(now, gang, options().age_limit);
   bool renewed = true;
-  for (const Candidate& c : selection.machines) renewed &= c.machine->hold_period.Renew(now);
+  for (const Candidate& c : selection.machines) {
+    renewed &= c.machine->hold_period.Renew(now, max_duration);
+  }
   return renewed;
 }
 
--- a/src/core/leader/gang_reservations.h
+++ b/src/core/leader/gang_reservations.h
@@ -50,7 +50,7 @@
   std::vector<Candidate> Candidates(Micros now, const Job& gang, const std::string& zone,
                                     bool prioritized) const;
   static std::optional<Selection> Select(const Job& gang, const std::vector<Candidate>& candidates);
-  static bool RenewHolds(Micros now, const Selection& selection);
+  bool RenewHolds(Micros now, const Job& gang, const Selection& selection) const;
   static bool Reserve(const Selection& selection, const Job& gang);
 };
 
--- a/src/core/leader/quota_reservations.cpp
+++ b/src/core/leader/quota_reservations.cpp
@@ -26,7 +26,8 @@
 
 void QuotaReservations::ReserveForWaiting(Micros now, const Job& gang) {
   if (!quota_checker().IsLimited(gang.team)) return;
-  if (teams_[gang.team].hold_period.Renew(now)) Reserve(gang, gang.remaining());
+  if (teams_[gang.team].hold_period.Renew(now, MaxHold(now, gang, options().age_limit)))
+    Reserve(gang, gang.remaining());
 }
 
 void QuotaReservations::ReserveForPlacement(const Job& gang, int members) {
@@ -37,19 +38,25 @@
   if (!quota_checker().IsLimited(gang.team)) return true;
   if (now >= next_forecast_at_) ForecastEnds(now);
   const Resources missing = quota_checker().Shortfall(gang, gang.remaining());
-  const Resources& ending = teams_[gang.team].ending_soon;
+  const bool aged = MaxHold(now, gang, options().age_limit) == HoldPeriod::kMaxAgedDuration;
+  const Resources& ending = aged ? teams_[gang.team].ending_later : teams_[gang.team].ending_soon;
   return missing.cpu <= ending.cpu && missing.gpu <= ending.gpu;
 }
 
 void QuotaReservations::ForecastEnds(Micros now) {
   next_forecast_at_ = now + kForecastInterval;
-  for (TeamReservations& team : teams_) team.ending_soon = {};
+  for (TeamReservations& team : teams_) team.ending_soon = team.ending_later = {};
   for (const auto& [id, machine] : machine_table().machines()) {
     for (const auto& [key, allocation] : machine->allocations) {
       if (allocation.exited()) continue;
-      if (ExpectedRemainder(now, allocation) > HoldPeriod::kMaxDuration) continue;
-      Resources& ending = teams_[allocation.team].ending_soon;
-      ending = ending + allocation.need;
+      const Micros remainder = ExpectedRemainder(now, allocation);
+      TeamReservations& team = teams_[allocation.team];
+      if (remainder <= HoldPeriod::kMaxDuration) {
+        team.ending_soon = team.ending_soon + allocation.need;
+      }
+      if (remainder <= HoldPeriod::kMaxAgedDuration) {
+        team.ending_later = team.ending_later + allocation.need;
+      }
     }
   }
 }
--- a/src/core/leader/quota_reservations.h
+++ b/src/core/leader/quota_reservations.h
@@ -39,7 +39,9 @@
     std::array<Resources, kPriorityCount> total;  // by the gangs' priority
     std::array<Resources, kPriorityCount> first;  // the first reservation of each priority
     HoldPeriod hold_period;
-    Resources ending_soon;  // of its tasks, as of the last forecast
+    // Of its tasks that are expected to end within the two hold periods, as of the last forecast.
+    Resources ending_soon;
+    Resources ending_later;
   };
   void Reserve(const Job& gang, int members);
   void ForecastEnds(Micros now);
--- a/src/core/leader/runtime_forecast.cpp
+++ b/src/core/leader/runtime_forecast.cpp
@@ -22,4 +22,9 @@
   return room;
 }
 
+Micros MaxHold(Micros now, const Job& gang, Micros age_limit) {
+  return now - gang.submitted_at > age_limit ? HoldPeriod::kMaxAgedDuration
+                                             : HoldPeriod::kMaxDuration;
+}
+
 }  // namespace badgershore
--- a/src/core/leader/runtime_forecast.h
+++ b/src/core/leader/runtime_forecast.h
@@ -15,4 +15,8 @@
 // expected to do so within `horizon`.
 Resources ExpectedRoom(Micros now, const Machine& machine, Micros horizon);
 
+// For how long something may be set aside for the waiting gang, and so within what time it must be
+// expected to start.
+Micros MaxHold(Micros now, const Job& gang, Micros age_limit);
+
 }  // namespace badgershore
--- a/src/core/model/hold_period.h
+++ b/src/core/model/hold_period.h
@@ -5,19 +5,23 @@
 
 namespace badgershore {
 
-// A limit or a machine is set aside for a job that can't use it yet. Others that could use it must
-// start within 90 s, so after kMaxDuration it is open to them for kPause, whoever held it.
+// A limit or a machine is set aside for a job that can't use it yet. Others that could use it
+// should start within 90 s, so after some time it is open to them for kPause, whoever held it.
 class HoldPeriod {
  public:
   static constexpr Micros kMaxDuration = Seconds(70);
+  // For a gang past the age limit, which would otherwise never find room among tasks that run for
+  // longer than kMaxDuration.
+  static constexpr Micros kMaxAgedDuration = Seconds(180);
   static constexpr Micros kPause = Seconds(15);
 
-  // Whether it may be set aside at `now`. To be called at least every kMaxGap while it is held.
-  bool Renew(Micros now) {
+  // Whether it may be set aside at `now`, in all for `max_duration` at a time. To be called at
+  // least every kMaxGap while it is held.
+  bool Renew(Micros now, Micros max_duration) {
     if (now < open_until_) return false;
     if (renewed_at_.count < 0 || now - renewed_at_ > kMaxGap) began_at_ = now;
     renewed_at_ = now;
-    if (now - began_at_ <= kMaxDuration) return true;
+    if (now - began_at_ <= max_duration) return true;
     open_until_ = now + kPause;
     renewed_at_ = {-1};
     return false;
