--- a/src/core/model/effects.h
+++ b/src/core/model/effects.h
@@ -171,8 +171,9 @@
 };
 // A direct call: stops, or no commands to raise the fencing token and read the agent's state. It
 // may be executed late, or again, also by an agent that has been restarted: a stop names an
-// attempt, and nothing else is sent this way. Only a gang's member can be replaced under the attempt
-// of a member that was stopped: a late stop may then end the new one, which costs the gang its run.
+// attempt, and nothing else is sent this way. Only a gang's member can be replaced under the
+// attempt of a member that was stopped: a late stop may then end the new one, which costs the gang
+// its run.
 struct CommandRequest {
   RequestId id = 0;
   std::string machine, endpoint;
